--- /dev/null
+++ b/cmake/AcaciaTargets.cmake
@@ -0,0 +1,35 @@
+# Helpers that declare this project's libraries, programs and tests alike.
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+if(NOT CMAKE_BUILD_TYPE)
+    set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+
+function(acacia_add_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(${name} STATIC ${ARG_SOURCES})
+    target_include_directories(${name} PUBLIC
+        $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src/libs>
+        $<INSTALL_INTERFACE:include/acaciahall>)
+    target_compile_options(${name} PRIVATE -Wall -Wextra -Wshadow -Werror)
+    target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
+endfunction()
+
+function(acacia_add_tool name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_compile_options(${name} PRIVATE -Wall -Wextra -Wshadow -Werror)
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+function(acacia_add_test name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_compile_options(${name} PRIVATE -Wall -Wextra -Werror)
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} acacia_rapidcheck GTest::gmock GTest::gtest GTest::gtest_main)
+    add_test(NAME ${name} COMMAND ${name})
+    set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/libs/admission/servicetime.cpp
@@ -0,0 +1,28 @@
+#include "servicetime.h"
+
+namespace Admission {
+
+namespace {
+
+/// Part of a new observation in the running mean.
+constexpr double newestPart = 0.1;
+
+} // namespace
+
+ServiceTime::ServiceTime(Utils::Duration initial)
+    : m_mean(initial)
+{ }
+
+auto ServiceTime::note(Utils::Duration taken) -> void
+{
+    const double mean =
+        (1 - newestPart) * Utils::toSeconds(m_mean) + newestPart * Utils::toSeconds(taken);
+    m_mean = Utils::fromSeconds(mean);
+}
+
+auto ServiceTime::mean() const -> Utils::Duration
+{
+    return m_mean;
+}
+
+} // namespace Admission
--- /dev/null
+++ b/src/libs/agent/agentconstants.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace Agent::Constants {
+
+/// Time between two looks at the backend server's state.
+constexpr std::chrono::milliseconds StatusPeriod(1000);
+constexpr std::chrono::milliseconds StatusTimeout(900);
+/// An answer stays available this long after its end, for an entry that lost its connection.
+constexpr std::chrono::seconds FinishedRunLifetime(20);
+/// A run whose entry went away is cancelled after this unless it is resumed.
+constexpr std::chrono::seconds OrphanLifetime(3);
+/// Bytes of an answer that are kept for resuming.
+constexpr std::size_t MostTailBytes = 1U << 20;
+/// Time between two steps of the shared duties.
+constexpr std::chrono::milliseconds DutyPeriod(250);
+/// Time between two readings of the platform's instance list.
+constexpr std::chrono::milliseconds InstanceListPeriod(1000);
+/// Wait for the pacing duty's holder before falling back to the own share.
+constexpr std::chrono::milliseconds SlotPatience(1500);
+/// Time between two attempts at work that could not be done at once.
+constexpr std::chrono::milliseconds RetryPeriod(200);
+
+} // namespace Agent::Constants
--- /dev/null
+++ b/src/libs/agent/answertail.cpp
@@ -0,0 +1,32 @@
+#include "answertail.h"
+
+namespace Agent {
+
+AnswerTail::AnswerTail(std::size_t mostBytes)
+    : m_mostBytes(mostBytes)
+{ }
+
+auto AnswerTail::append(const std::string &bytes) -> void
+{
+    m_bytes += bytes;
+    // Cut only now and then, so that a long answer isn't moved in memory with each piece.
+    if (m_bytes.size() <= 2 * m_mostBytes)
+        return;
+    const std::size_t excess = m_bytes.size() - m_mostBytes;
+    m_bytes.erase(0, excess);
+    m_start += excess;
+}
+
+auto AnswerTail::from(std::uint64_t offset) const -> std::optional<std::string>
+{
+    if (offset < m_start || offset > end())
+        return std::nullopt;
+    return m_bytes.substr(offset - m_start);
+}
+
+auto AnswerTail::end() const -> std::uint64_t
+{
+    return m_start + m_bytes.size();
+}
+
+} // namespace Agent
--- /dev/null
+++ b/src/libs/agent/dutyrunner.cpp
@@ -0,0 +1,295 @@
+#include "dutyrunner.h"
+
+#include "agentconstants.h"
+
+#include <contracts/epoch.h>
+#include <membership/dutylease.h>
+#include <net/periodictimer.h>
+#include <node/fleetnode.h>
+#include <node/strikeboard.h>
+#include <platform/tableservice.h>
+#include <routing/routingconstants.h>
+#include <utils/eventlog.h>
+
+namespace Agent {
+
+using Control::ControlState;
+using nlohmann::json;
+using Platform::ControlEdit;
+
+const std::string pacingDutyItemKey = "duty/shared";
+const std::string contractEpochItemKey = "contracts/epoch";
+
+namespace {
+
+const std::string dutyRowKey = "duty/shared";
+const std::string backendPrefix = "backend/";
+const std::string permitPrefix = "permit/";
+
+auto readPermits(const ControlState &state) -> std::map<std::string, Placement::Permit>
+{
+    std::map<std::string, Placement::Permit> permits;
+    for (const auto &[model, item] : state.itemsUnder(permitPrefix)) {
+        if (const auto permit = Placement::permitFromJson(item->value))
+            permits[model] = *permit;
+    }
+    return permits;
+}
+
+auto isLeaving(const ControlState &state, const std::string &server, const json &item,
+               const Platform::InstanceStatuses &statuses) -> bool
+{
+    const auto status = statuses.find(item.value("agent", ""));
+    const bool listedLeaving =
+        status != statuses.end() && status->second != Platform::InstanceStatus::Live;
+    return item.value("leaving", false) || state.rules().drain(server) || listedLeaving;
+}
+
+auto readServers(const ControlState &state, const Platform::InstanceStatuses &statuses)
+    -> std::map<std::string, Placement::PlannedServer>
+{
+    std::map<std::string, Placement::PlannedServer> servers;
+    for (const auto &[name, item] : state.itemsUnder(backendPrefix)) {
+        const json &value = item->value;
+        if (value.value("kind", "") != "engine")
+            continue;
+        servers[name] = {name, value.value("group", ""), value.value("failureDomain", ""),
+                         value.value("memoryBytes", std::uint64_t(0)),
+                         isLeaving(state, name, value, statuses)};
+    }
+    return servers;
+}
+
+/// Permit holders whose server is no longer registered: their agent deregistered after unloading,
+/// or the platform said that the instance is gone and took it off the register.
+auto goneHolders(const std::map<std::string, Placement::Permit> &permits,
+                 const std::map<std::string, Placement::PlannedServer> &servers)
+    -> std::set<std::string>
+{
+    std::set<std::string> gone;
+    for (const auto &[model, permit] : permits) {
+        for (const auto &name : permit.granted)
+            if (servers.count(name) == 0)
+                gone.insert(name);
+        for (const auto &name : permit.revoked)
+            if (servers.count(name) == 0)
+                gone.insert(name);
+    }
+    return gone;
+}
+
+auto addPermits(const ControlState &state, const Platform::InstanceStatuses &statuses,
+                ControlEdit &edit) -> void
+{
+    Placement::PlannerInput input;
+    input.rules = &state.rules();
+    input.servers = readServers(state, statuses);
+    input.permits = readPermits(state);
+    input.goneServers = goneHolders(input.permits, input.servers);
+    for (const auto &[model, permit] : Placement::planPermits(input)) {
+        if (permit.holderCount() == 0 && !state.rules().model(model))
+            edit.deletes.push_back(Placement::permitItemKey(model));
+        else
+            edit.puts[Placement::permitItemKey(model)] = Placement::toJson(permit);
+    }
+}
+
+auto wantedEpoch(const ControlState &state) -> Contracts::Epoch
+{
+    Contracts::Epoch epoch;
+    for (const auto &[name, instance] : state.registry()) {
+        if (instance.role == "entry")
+            epoch.incarnations[name] = instance.incarnation;
+    }
+    for (const auto &[name, rule] : state.rules().customers())
+        epoch.contracts[name] = {rule.body.rate, rule.body.burst};
+    return epoch;
+}
+
+auto addEpoch(const ControlState &state, ControlEdit &edit) -> void
+{
+    const auto *item = state.item(contractEpochItemKey);
+    const auto current = item ? Contracts::epochFromJson(item->value) : std::nullopt;
+    Contracts::Epoch epoch = wantedEpoch(state);
+    if (current && current->incarnations == epoch.incarnations
+        && current->contracts == epoch.contracts)
+        return;
+    epoch.number = current ? current->number + 1 : 1;
+    edit.puts[contractEpochItemKey] = Contracts::toJson(epoch);
+}
+
+auto addRemovals(const ControlState &state, const Platform::InstanceStatuses &statuses,
+                 ControlEdit &edit) -> void
+{
+    for (const auto &[name, instance] : state.registry()) {
+        const auto status = statuses.find(name);
+        if (status != statuses.end() && status->second == Platform::InstanceStatus::Gone)
+            edit.deletes.push_back(Control::instanceItemKey(name));
+    }
+    for (const auto &[server, item] : state.itemsUnder(backendPrefix)) {
+        const auto status = statuses.find(item->value.value("agent", ""));
+        if (status != statuses.end() && status->second == Platform::InstanceStatus::Gone)
+            edit.deletes.push_back(backendPrefix + server);
+    }
+}
+
+auto addForgottenStrikes(const ControlState &state, std::int64_t nowMs, ControlEdit &edit) -> void
+{
+    const auto lifetime =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Routing::Constants::StrikeLifetime);
+    for (const auto &[fingerprint, item] : state.itemsUnder(Node::strikeItemPrefix)) {
+        if (nowMs - item->value.value("at", std::int64_t(0)) > lifetime.count())
+            edit.deletes.push_back(Node::strikeItemPrefix + fingerprint);
+    }
+}
+
+auto wallClockMs() -> std::int64_t
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+struct DutyRunner::Private
+{
+    Node::FleetNode &node;
+    std::function<void(bool)> onDutyChanged;
+    Membership::DutyLease lease;
+    Platform::InstanceStatuses statuses;
+    std::unique_ptr<Net::PeriodicTimer> timer;
+    std::unique_ptr<Net::PeriodicTimer> listTimer;
+    bool wasHeld = false;
+    bool isProposing = false;
+
+    Private(Node::FleetNode &fleetNode, std::function<void(bool)> changed)
+        : node(fleetNode)
+        , onDutyChanged(std::move(changed))
+        , lease(fleetNode.settings().name + "/" + fleetNode.incarnation())
+    { }
+
+    auto step() -> void
+    {
+        const auto now = node.reactor().now();
+        switch (lease.tick(now)) {
+        case Membership::LeaseStep::Read:
+            readRow();
+            break;
+        case Membership::LeaseStep::Write:
+            writeRow();
+            break;
+        case Membership::LeaseStep::Nothing:
+            break;
+        }
+        const bool isHeld = lease.isHeld(now) && node.mayAct();
+        if (isHeld != wasHeld) {
+            wasHeld = isHeld;
+            Utils::logEvent(isHeld ? Utils::Event::DutyTaken : Utils::Event::DutyLost,
+                            {{"duty", "shared"}});
+            onDutyChanged(isHeld);
+        }
+        if (isHeld)
+            plan();
+    }
+
+    auto readRow() -> void
+    {
+        node.table().read(dutyRowKey, [this](const auto &row) {
+            if (row)
+                lease.takeRow(
+                    {row->value.is_object() ? row->value.value("holder", "") : "", row->version},
+                    node.reactor().now());
+            else
+                lease.takeFailure();
+        });
+    }
+
+    auto writeRow() -> void
+    {
+        const auto sentAt = node.reactor().now();
+        const auto expected = lease.expectedVersion();
+        Platform::TableTransaction transaction;
+        transaction.conditions.push_back({dutyRowKey, expected});
+        transaction.writes.push_back(
+            {dutyRowKey, json{{"holder", node.settings().name + "/" + node.incarnation()}}});
+        node.table().commit(transaction, [this, expected, sentAt](const auto &result) {
+            if (result)
+                lease.takeWritten(expected + 1, sentAt);
+            else
+                lease.takeFailure();
+        });
+    }
+
+    auto readList() -> void
+    {
+        if (!wasHeld)
+            return;
+        node.instanceList().read([this](const auto &list) {
+            if (list)
+                statuses = *list;
+        });
+    }
+
+    auto edit(const ControlState &state) const -> Utils::Result<ControlEdit, std::string>
+    {
+        ControlEdit result;
+        addRemovals(state, statuses, result);
+        addPermits(state, statuses, result);
+        addEpoch(state, result);
+        addForgottenStrikes(state, wallClockMs(), result);
+        const json self = {{"holder", node.settings().name}};
+        const auto *duty = state.item(pacingDutyItemKey);
+        if (!duty || duty->value != self)
+            result.puts[pacingDutyItemKey] = self;
+        return result;
+    }
+
+    auto plan() -> void
+    {
+        if (isProposing || edit(node.state())->isEmpty())
+            return;
+        isProposing = true;
+        const auto withFence =
+            [this](const ControlState &state) -> Utils::Result<ControlEdit, std::string> {
+            // A holder that was paused past its lease finds that the row has changed; and while it
+            // renews, its own version grows, so the newest one is looked up for each attempt.
+            if (!lease.isHeld(node.reactor().now()))
+                return tl::unexpected(std::string("the duty's lease is lost"));
+            return edit(state);
+        };
+        node.propose({node.settings().name, "plan", withFence}, [this](const auto &result) {
+            isProposing = false;
+            if (!result)
+                return;
+            logPermits(*result);
+        });
+    }
+
+    auto logPermits(Control::Revision revision) const -> void
+    {
+        for (const auto &[model, item] : node.state().itemsUnder(permitPrefix)) {
+            if (item->revision != revision)
+                continue;
+            const auto *rule = node.state().rules().model(model);
+            Utils::logEvent(Utils::Event::PermitChanged,
+                            {{"revision", revision},
+                             {"model", model},
+                             {"permit", item->value},
+                             {"rule", rule ? rule->source.text : ""},
+                             {"person", rule ? rule->source.person : ""}});
+        }
+    }
+};
+
+DutyRunner::DutyRunner(Node::FleetNode &node, std::function<void(bool)> onDutyChanged)
+    : d(std::make_unique<Private>(node, std::move(onDutyChanged)))
+{
+    d->timer = std::make_unique<Net::PeriodicTimer>(node.reactor(), Constants::DutyPeriod,
+                                                    [this] { d->step(); });
+    d->listTimer = std::make_unique<Net::PeriodicTimer>(
+        node.reactor(), Constants::InstanceListPeriod, [this] { d->readList(); });
+}
+
+DutyRunner::~DutyRunner() = default;
+
+} // namespace Agent
--- /dev/null
+++ b/src/libs/agent/dutyrunner.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <placement/planner.h>
+#include <platform/instancelist.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Node {
+class FleetNode;
+}
+
+namespace Agent {
+
+/// Item that names the holder of the shared duties.
+extern const std::string pacingDutyItemKey;
+/// Item that holds the contracts' epoch.
+extern const std::string contractEpochItemKey;
+
+/// Does the fleet's shared duties while this agent holds their lease: plans permits, makes contract
+/// epochs, takes instances that are gone off the register.
+class DutyRunner
+{
+public:
+    /// `onDutyChanged` is told when this agent takes or loses the duty.
+    DutyRunner(Node::FleetNode &node, std::function<void(bool)> onDutyChanged);
+    ~DutyRunner();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Agent
--- /dev/null
+++ b/src/libs/app/daemon.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace Net {
+class Reactor;
+}
+
+namespace Utils {
+class SettingsReader;
+}
+
+namespace App {
+
+/// Exit codes of the programs.
+namespace ExitCode {
+constexpr int Success = 0;
+constexpr int Failure = 1;
+constexpr int BadUsage = 2;
+} // namespace ExitCode
+
+/// Reads a daemon's settings; the reader collects the faults.
+using SettingsCallback = std::function<void(Utils::SettingsReader &)>;
+/// Starts the daemon on the reactor; gives what to do when asked to stop, which must end in calling
+/// its argument, or an error.
+using StopCallback = std::function<void(std::function<void()> done)>;
+using StartCallback = std::function<StopCallback(Net::Reactor &reactor, std::string &error)>;
+
+/// Runs a daemon from its command line (`--settings FILE`, `--check-settings`) to its exit code.
+auto runDaemon(int argc, char **argv, const std::string &name, const SettingsCallback &readSettings,
+               const StartCallback &start) -> int;
+
+} // namespace App
--- /dev/null
+++ b/src/libs/contracts/contractbook.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <contracts/epoch.h>
+#include <contracts/sharepolicy.h>
+#include <contracts/slice.h>
+#include <contracts/transfer.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Contracts {
+
+/// How a charge came out.
+struct ChargeResult
+{
+    enum class Status { Charged, Short, LargerThanContract, NoContract };
+    Status status = Status::NoContract;
+    double missing = 0; ///< Tokens that were lacking, when short.
+    std::chrono::milliseconds retryAfter{0};
+};
+
+/// One entry's slices of all contracts. Deterministic; the shell moves its messages.
+class ContractBook
+{
+public:
+    ContractBook(std::string entry, std::string incarnation, std::unique_ptr<SharePolicy> policy);
+    ~ContractBook();
+
+    /// Takes over a newer epoch; what this entry gains by it stays locked until `unlockGains`.
+    auto update(const Epoch &epoch, Utils::TimePoint now) -> void;
+    auto epoch() const -> const Epoch &;
+    auto hasLockedGains() const -> bool;
+    /// To be called once every entry of the earlier epoch is known to have left it.
+    auto unlockGains(std::uint64_t epoch, Utils::TimePoint now) -> void;
+
+    auto charge(const std::string &customer, double tokens, Utils::TimePoint now) -> ChargeResult;
+    /// Tries a charge that was short again.
+    auto chargeAgain(const std::string &customer, double tokens, Utils::TimePoint now)
+        -> ChargeResult;
+    /// Returns what a charge did not use.
+    auto giveBack(const std::string &customer, double tokens, Utils::TimePoint now) -> void;
+    auto held(const std::string &customer, Utils::TimePoint now) -> SliceAmount;
+
+    /// The question to send to peers for a charge that was short.
+    auto makeAsk(const std::string &customer, const std::string &requestId, double missing,
+                 Utils::TimePoint now) -> TransferAsk;
+    /// Marks that a request of this entry waits for tokens; it gives to older requests only
+    /// meanwhile.
+    auto setWaiting(const std::string &customer, const std::string &requestId, bool isWaiting)
+        -> void;
+    /// Splits off what the asker gets; everything not yet acknowledged by it is returned, oldest
+    /// first.
+    auto answerAsk(const TransferAsk &ask, Utils::TimePoint now) -> std::vector<Transfer>;
+    /// True when the transfer is dealt with and may be acknowledged.
+    auto takeTransfer(const Transfer &transfer, Utils::TimePoint now) -> bool;
+    auto takeAcknowledgement(const std::string &to, std::uint64_t sequence) -> void;
+    auto unacknowledged() const -> std::vector<Transfer>;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Contracts
--- /dev/null
+++ b/src/libs/control/controlstate.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <control/change.h>
+#include <control/registry.h>
+#include <rules/ruleset.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Control {
+
+/// One item and the revision that last wrote it.
+struct Item
+{
+    nlohmann::json value;
+    Revision revision = 0;
+};
+
+/// The agreed data at one revision, with the latest changes for peers that are behind.
+class ControlState
+{
+public:
+    auto revision() const -> Revision;
+    auto items() const -> const std::map<std::string, Item> &;
+    auto item(const std::string &key) const -> const Item *;
+    /// Items whose key begins with `prefix`, without the prefix.
+    auto itemsUnder(const std::string &prefix) const -> std::map<std::string, const Item *>;
+    auto registry() const -> const Registry &;
+    /// Sets of names that were registered at the kept revisions, the present one included.
+    auto registryHistory() const -> const std::set<std::set<std::string>> &;
+    auto rules() const -> const Rules::RuleSet &;
+
+    /// Applies the next change; false, and no effect, when it isn't the next one.
+    auto apply(const Change &change) -> bool;
+    /// The changes after `revision` in order; nothing when some of them are no longer kept.
+    auto changesAfter(Revision revision) const -> std::optional<std::vector<Change>>;
+
+    /// The latest changes, oldest first.
+    auto keptChanges() const -> const std::deque<Change> &;
+    auto toSnapshot() const -> nlohmann::json;
+    /// Replaces everything, but only by a newer revision.
+    auto restore(const nlohmann::json &snapshot) -> bool;
+
+private:
+    auto rebuildRegistry() -> void;
+    auto rebuildRules() -> void;
+
+    Revision m_revision = 0;
+    std::map<std::string, Item> m_items;
+    std::deque<Change> m_changes;
+    Registry m_registry;
+    std::set<std::set<std::string>> m_registryHistory;
+    Rules::RuleSet m_rules;
+};
+
+/// Key prefix of the items that hold the lines of the rules file.
+extern const std::string ruleItemPrefix;
+
+/// The item that holds one rule's line.
+auto ruleItem(const Rules::Rule &rule) -> nlohmann::json;
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/entry/backenddirectory.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <control/controlstate.h>
+#include <placement/wakepolicy.h>
+#include <platform/instancelist.h>
+#include <utils/timepoint.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Entry {
+
+/// An agent that may take a request.
+struct BackendChoice
+{
+    std::string server;
+    std::string agentAddress;
+};
+
+/// Which backend servers there are for a request, best first.
+class BackendDirectory
+{
+public:
+    BackendDirectory(std::unique_ptr<Placement::WakePolicy> policy, std::string ownDomain);
+
+    auto setInstanceStatuses(const Platform::InstanceStatuses &statuses) -> void;
+    /// What an answer told of its server.
+    auto noteAnswer(const std::string &server, const std::string &model, int queued,
+                    Utils::TimePoint now) -> void;
+    /// The server was found without the model, or could not be reached.
+    auto noteRefusal(const std::string &server, const std::string &model) -> void;
+    auto noteUnreachable(const std::string &server, Utils::TimePoint now) -> void;
+
+    auto forModel(const Control::ControlState &state, const std::string &model,
+                  const std::set<std::string> &excluded, Utils::TimePoint now) const
+        -> std::vector<BackendChoice>;
+    auto forService(const Control::ControlState &state, const std::string &service,
+                    const std::set<std::string> &excluded, Utils::TimePoint now) const
+        -> std::vector<BackendChoice>;
+
+private:
+    struct Observation
+    {
+        int queued = 0;
+        Utils::TimePoint at;
+        Utils::TimePoint unreachableAt;
+        std::map<std::string, Utils::TimePoint> loadedAt;
+    };
+
+    auto isUsable(const Control::ControlState &state, const std::string &server,
+                  const std::set<std::string> &excluded) const -> bool;
+    auto rank(const Control::ControlState &state, const std::string &model,
+              const std::vector<std::string> &servers, Utils::TimePoint now) const
+        -> std::vector<BackendChoice>;
+
+    std::unique_ptr<Placement::WakePolicy> m_policy;
+    std::string m_ownDomain;
+    Platform::InstanceStatuses m_statuses;
+    std::map<std::string, Observation> m_observations;
+};
+
+} // namespace Entry
--- /dev/null
+++ b/src/libs/entry/contractdesk.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <contracts/contractbook.h>
+#include <utils/timepoint.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Node {
+class FleetNode;
+}
+
+namespace Entry {
+
+/// Charges requests to their customers' contracts; gathers parts from other entries where its own
+/// slice is short.
+class ContractDesk
+{
+public:
+    using ChargedCallback = std::function<void(const Contracts::ChargeResult &result)>;
+
+    ContractDesk(Node::FleetNode &node, std::unique_ptr<Contracts::SharePolicy> policy);
+    ~ContractDesk();
+
+    /// `done` is called once, at the latest at `deadline`.
+    auto charge(const std::string &customer, const std::string &requestId, double tokens,
+                Utils::TimePoint deadline, ChargedCallback done) -> void;
+    auto giveBack(const std::string &customer, double tokens) -> void;
+    auto status() const -> nlohmann::json;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Entry
--- /dev/null
+++ b/src/libs/entry/decisionlog.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace Entry {
+
+/// The latest decisions on requests, for operators who ask why.
+class DecisionLog
+{
+public:
+    explicit DecisionLog(size_t most);
+
+    auto add(const std::string &requestId, const nlohmann::json &decision) -> void;
+    /// The decision on a request, or null.
+    auto find(const std::string &requestId) const -> nlohmann::json;
+
+private:
+    size_t m_most;
+    std::deque<std::string> m_order;
+    std::map<std::string, nlohmann::json> m_decisions;
+};
+
+} // namespace Entry
--- /dev/null
+++ b/src/libs/membership/dutylease.cpp
@@ -0,0 +1,67 @@
+#include "dutylease.h"
+
+#include "membershipconstants.h"
+
+namespace Membership {
+
+using Utils::TimePoint;
+
+DutyLease::DutyLease(std::string holder)
+    : m_holder(std::move(holder))
+{ }
+
+auto DutyLease::tick(TimePoint now) -> LeaseStep
+{
+    if (m_busy || now < m_nextStep)
+        return LeaseStep::Nothing;
+    m_busy = true;
+    m_nextStep = now + Constants::RenewPeriod;
+    if (!m_rowIsKnown)
+        return LeaseStep::Read;
+    const bool isMine = m_row.holder == m_holder;
+    const bool isFree = m_row.version == 0 || now - m_rowChangedAt >= Constants::TakeOverAfter;
+    return isMine || isFree ? LeaseStep::Write : LeaseStep::Read;
+}
+
+auto DutyLease::takeRow(const LeaseRow &row, TimePoint now) -> void
+{
+    m_busy = false;
+    const bool isUnchanged = m_rowChangedAt != TimePoint() && row.version == m_row.version;
+    if (!isUnchanged)
+        m_rowChangedAt = now;
+    m_row = row;
+    m_rowIsKnown = true;
+    if (row.holder != m_holder)
+        m_renewedAt.reset();
+}
+
+auto DutyLease::expectedVersion() const -> std::uint64_t
+{
+    return m_row.version;
+}
+
+auto DutyLease::takeWritten(std::uint64_t version, TimePoint sentAt) -> void
+{
+    m_busy = false;
+    m_row = {m_holder, version};
+    m_rowChangedAt = sentAt;
+    m_renewedAt = sentAt;
+}
+
+auto DutyLease::takeFailure() -> void
+{
+    m_busy = false;
+    m_rowIsKnown = false;
+}
+
+auto DutyLease::isHeld(TimePoint now) const -> bool
+{
+    return m_renewedAt && now - *m_renewedAt < Constants::HoldLimit;
+}
+
+auto DutyLease::version() const -> std::uint64_t
+{
+    return m_row.version;
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/membership/dutylease.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <utils/timepoint.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Membership {
+
+/// The row that stands for a shared duty. `version` is the table's, 0 while there is no row.
+struct LeaseRow
+{
+    std::string holder;
+    std::uint64_t version = 0;
+};
+
+/// What the shell should do next with the row.
+enum class LeaseStep {
+    Nothing,
+    Read, ///< Read the row and call `takeRow`.
+    Write, ///< Write the own name if the row still has `expectedVersion`.
+};
+
+/// One process's part in a lease on a shared duty. Others measure the time that the row stays
+/// unchanged on their own clocks, so no clocks are compared.
+class DutyLease
+{
+public:
+    explicit DutyLease(std::string holder);
+
+    auto tick(Utils::TimePoint now) -> LeaseStep;
+    auto takeRow(const LeaseRow &row, Utils::TimePoint now) -> void;
+    /// Version that a write must find.
+    auto expectedVersion() const -> std::uint64_t;
+    /// A write sent at `sentAt` succeeded and made `version`.
+    auto takeWritten(std::uint64_t version, Utils::TimePoint sentAt) -> void;
+    /// A write failed or its answer was lost.
+    auto takeFailure() -> void;
+
+    /// True while this process may do the duty.
+    auto isHeld(Utils::TimePoint now) const -> bool;
+    /// Version of the row while held: a condition for writes made on duty.
+    auto version() const -> std::uint64_t;
+
+private:
+    std::string m_holder;
+    LeaseRow m_row;
+    bool m_rowIsKnown = false;
+    bool m_busy = false;
+    Utils::TimePoint m_rowChangedAt;
+    Utils::TimePoint m_nextStep;
+    std::optional<Utils::TimePoint> m_renewedAt;
+};
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/net/reactor.cpp
@@ -0,0 +1,215 @@
+#include "reactor.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace Net {
+
+namespace Internal {
+
+/// One watched descriptor as ACE sees it.
+class WatchHandler : public ACE_Event_Handler
+{
+public:
+    WatchHandler(int fd, Reactor::ReadyCallback callback)
+        : m_fd(fd)
+        , m_callback(std::move(callback))
+    { }
+
+    auto get_handle() const -> ACE_HANDLE override { return m_fd; }
+    auto handle_input(ACE_HANDLE) -> int override { return dispatch({true, false}); }
+    auto handle_output(ACE_HANDLE) -> int override { return dispatch({false, true}); }
+    auto retire() -> void { m_retired = true; }
+    auto setCallback(Reactor::ReadyCallback callback) -> void { m_callback = std::move(callback); }
+
+private:
+    auto dispatch(Interest ready) -> int
+    {
+        if (m_retired)
+            return 0;
+        const auto callback = m_callback;
+        callback(ready);
+        return 0;
+    }
+
+    int m_fd;
+    bool m_retired = false;
+    Reactor::ReadyCallback m_callback;
+};
+
+/// Receives ACE's time-outs and hands them on by timer number.
+class TimerHandler : public ACE_Event_Handler
+{
+public:
+    explicit TimerHandler(std::function<void(long)> fired)
+        : m_fired(std::move(fired))
+    { }
+
+    auto handle_timeout(const ACE_Time_Value &, const void *argument) -> int override
+    {
+        m_fired(reinterpret_cast<long>(argument));
+        return 0;
+    }
+
+private:
+    std::function<void(long)> m_fired;
+};
+
+} // namespace Internal
+
+struct Reactor::Private
+{
+    struct Timer
+    {
+        long aceId;
+        std::function<void()> callback;
+    };
+
+    struct Watch
+    {
+        std::unique_ptr<Internal::WatchHandler> handler;
+        ACE_Reactor_Mask mask;
+    };
+
+    std::unique_ptr<ACE_Reactor> ace;
+    std::unordered_map<int, Watch> watches;
+    std::vector<std::unique_ptr<Internal::WatchHandler>> retired;
+    std::map<TimerId, Timer> timers;
+    std::unique_ptr<Internal::TimerHandler> timerHandler;
+    TimerId nextTimer = 1;
+    bool stopped = false;
+
+    auto fire(TimerId id) -> void
+    {
+        const auto found = timers.find(id);
+        if (found == timers.end())
+            return;
+        const auto callback = std::move(found->second.callback);
+        timers.erase(found);
+        callback();
+    }
+};
+
+namespace {
+
+auto maskOf(Interest interest) -> ACE_Reactor_Mask
+{
+    ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+    if (interest.read)
+        mask |= ACE_Event_Handler::READ_MASK;
+    if (interest.write)
+        mask |= ACE_Event_Handler::WRITE_MASK;
+    return mask;
+}
+
+auto toAce(Utils::Duration duration) -> ACE_Time_Value
+{
+    const auto positive = std::max(duration, Utils::Duration::zero());
+    const auto micro = std::chrono::duration_cast<std::chrono::microseconds>(positive).count();
+    return ACE_Time_Value(micro / 1000000, static_cast<suseconds_t>(micro % 1000000));
+}
+
+} // namespace
+
+Reactor::Reactor(std::unique_ptr<Private> data)
+    : d(std::move(data))
+{
+    d->timerHandler = std::make_unique<Internal::TimerHandler>([this](long id) { d->fire(id); });
+}
+
+Reactor::~Reactor()
+{
+    for (auto &[fd, entry] : d->watches)
+        d->ace->remove_handler(fd,
+                               ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    for (auto &[id, timer] : d->timers)
+        d->ace->cancel_timer(timer.aceId);
+}
+
+auto Reactor::create() -> Utils::Result<std::unique_ptr<Reactor>, std::string>
+{
+    constexpr size_t mostDescriptors = 16384;
+    auto data = std::make_unique<Private>();
+    auto implementation = std::make_unique<ACE_Dev_Poll_Reactor>(mostDescriptors);
+    if (!implementation->initialized())
+        return tl::unexpected(std::string("the event loop could not be opened"));
+    data->ace = std::make_unique<ACE_Reactor>(implementation.release(), true);
+    return std::unique_ptr<Reactor>(new Reactor(std::move(data)));
+}
+
+auto Reactor::watch(int fd, Interest interest, ReadyCallback callback) -> void
+{
+    const ACE_Reactor_Mask mask = maskOf(interest);
+    const auto found = d->watches.find(fd);
+    if (found != d->watches.end()) {
+        found->second.handler->setCallback(std::move(callback));
+        if (found->second.mask != mask) {
+            found->second.mask = mask;
+            d->ace->mask_ops(fd, mask, ACE_Reactor::SET_MASK);
+        }
+        return;
+    }
+    auto handler = std::make_unique<Internal::WatchHandler>(fd, std::move(callback));
+    d->ace->register_handler(fd, handler.get(), mask);
+    d->watches.emplace(fd, Private::Watch{std::move(handler), mask});
+}
+
+auto Reactor::unwatch(int fd) -> void
+{
+    const auto found = d->watches.find(fd);
+    if (found == d->watches.end())
+        return;
+    found->second.handler->retire();
+    d->ace->remove_handler(fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    d->retired.push_back(std::move(found->second.handler));
+    d->watches.erase(found);
+}
+
+auto Reactor::callAfter(Utils::Duration delay, std::function<void()> callback) -> TimerId
+{
+    const TimerId id = d->nextTimer++;
+    const long aceId =
+        d->ace->schedule_timer(d->timerHandler.get(), reinterpret_cast<void *>(id), toAce(delay));
+    d->timers.emplace(id, Private::Timer{aceId, std::move(callback)});
+    return id;
+}
+
+auto Reactor::cancel(TimerId timer) -> void
+{
+    const auto found = d->timers.find(timer);
+    if (found == d->timers.end())
+        return;
+    d->ace->cancel_timer(found->second.aceId);
+    d->timers.erase(found);
+}
+
+auto Reactor::now() const -> Utils::TimePoint
+{
+    return std::chrono::steady_clock::now();
+}
+
+auto Reactor::run() -> void
+{
+    while (!d->stopped) {
+        d->ace->handle_events();
+        d->retired.clear();
+    }
+}
+
+auto Reactor::stop() -> void
+{
+    d->stopped = true;
+    callAfter(Utils::Duration::zero(), [] {});
+}
+
+auto Reactor::restart() -> void
+{
+    d->stopped = false;
+}
+
+} // namespace Net
--- /dev/null
+++ b/src/libs/net/terminationsignal.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <functional>
+
+namespace Net {
+
+class Reactor;
+
+/// Calls `callback` on the loop when the process is asked to stop (SIGTERM or SIGINT).
+auto onTerminationSignal(Reactor &reactor, std::function<void()> callback) -> void;
+
+} // namespace Net
--- /dev/null
+++ b/src/libs/node/operatorserver.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <net/httpserver.h>
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Node {
+
+class FleetNode;
+
+/// Serves operators: /metrics, /status, /healthz and, through `explain`, /explain/ID. The state and
+/// the explanations are given over links too, for acaciactl.
+class OperatorServer
+{
+public:
+    using StatusCallback = std::function<nlohmann::json()>;
+    using ExplainCallback = std::function<nlohmann::json(const std::string &requestId)>;
+
+    static auto create(FleetNode &node, StatusCallback status, ExplainCallback explain)
+        -> Utils::Result<std::unique_ptr<OperatorServer>, std::string>;
+
+private:
+    OperatorServer(FleetNode &node, StatusCallback status, ExplainCallback explain);
+    auto handle(const std::shared_ptr<Net::HttpExchange> &exchange) -> void;
+    auto answerLinks() -> void;
+    auto wholeStatus() const -> nlohmann::json;
+    auto commonStatus() const -> nlohmann::json;
+
+    FleetNode &m_node;
+    StatusCallback m_status;
+    ExplainCallback m_explain;
+    std::unique_ptr<Net::HttpServer> m_server;
+};
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/node/strikeboard.cpp
@@ -0,0 +1,123 @@
+#include "strikeboard.h"
+
+#include "fleetnode.h"
+
+#include <links/linkchannel.h>
+#include <links/linkserver.h>
+#include <net/reactor.h>
+#include <protocol/codec.h>
+
+namespace Node {
+
+using nlohmann::json;
+
+const std::string strikeItemPrefix = "strike/";
+
+namespace {
+
+auto wallClockMs() -> std::int64_t
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+auto strikeEdit(const std::vector<std::string> &fingerprints, const std::string &crash)
+{
+    return [fingerprints, crash](const Control::ControlState &state)
+               -> Utils::Result<Platform::ControlEdit, std::string> {
+        Platform::ControlEdit edit;
+        for (const auto &fingerprint : fingerprints) {
+            const std::string key = strikeItemPrefix + fingerprint;
+            const auto *known = state.item(key);
+            json crashes = known ? known->value.value("crashes", json::array()) : json::array();
+            crashes.push_back(crash);
+            edit.puts[key] = {{"crashes", crashes}, {"at", wallClockMs()}};
+        }
+        return edit;
+    };
+}
+
+} // namespace
+
+StrikeBoard::StrikeBoard(FleetNode &node)
+    : m_node(node)
+{
+    node.handle(Protocol::Path::strike, [this](const auto &exchange) {
+        takeFromPeer(exchange->body());
+        exchange->finish();
+    });
+    node.onChanged([this] { takeFromState(); });
+}
+
+auto StrikeBoard::suspects() -> Routing::CrashSuspects &
+{
+    return m_suspects;
+}
+
+auto StrikeBoard::report(const std::vector<std::string> &fingerprints, const std::string &crash)
+    -> void
+{
+    if (fingerprints.empty())
+        return;
+    for (const auto &fingerprint : fingerprints)
+        m_suspects.noteStrike(fingerprint, crash, m_node.reactor().now());
+    const std::string message =
+        Protocol::encode({{"fingerprints", fingerprints}, {"crash", crash}});
+    broadcast(message);
+    m_node.propose({m_node.settings().name, "crash " + crash, strikeEdit(fingerprints, crash)},
+                   [](const auto &) {});
+}
+
+auto StrikeBoard::acquit(const std::string &fingerprint) -> void
+{
+    if (m_suspects.suspicionOf(fingerprint, m_node.reactor().now()) == Routing::Suspicion::None)
+        return;
+    m_suspects.noteFinished(fingerprint);
+    broadcast(Protocol::encode({{"acquitted", fingerprint}}));
+    const auto edit = [key = strikeItemPrefix + fingerprint](const Control::ControlState &state)
+        -> Utils::Result<Platform::ControlEdit, std::string> {
+        Platform::ControlEdit result;
+        if (state.item(key))
+            result.deletes.push_back(key);
+        return result;
+    };
+    m_node.propose({m_node.settings().name, "acquitted", edit}, [](const auto &) {});
+}
+
+auto StrikeBoard::broadcast(const std::string &message) -> void
+{
+    for (const auto &[name, instance] : m_node.state().registry()) {
+        if (name != m_node.settings().name)
+            m_node.channelTo(instance.address)
+                .call(
+                    Protocol::Path::strike, message, [](const auto &) {},
+                    [](Links::LinkOutcome) {});
+    }
+}
+
+auto StrikeBoard::takeFromPeer(const std::string &body) -> void
+{
+    const auto message = Protocol::decode(body);
+    if (!message || !message->is_object())
+        return;
+    if (message->contains("acquitted"))
+        m_suspects.noteFinished(message->value("acquitted", ""));
+    for (const auto &fingerprint : message->value("fingerprints", std::vector<std::string>()))
+        m_suspects.noteStrike(fingerprint, message->value("crash", ""), m_node.reactor().now());
+}
+
+auto StrikeBoard::takeFromState() -> void
+{
+    const auto &state = m_node.state();
+    if (state.revision() == m_seenRevision)
+        return;
+    for (const auto &[fingerprint, item] : state.itemsUnder(strikeItemPrefix)) {
+        if (item->revision <= m_seenRevision)
+            continue;
+        for (const auto &crash : item->value.value("crashes", std::vector<std::string>()))
+            m_suspects.noteStrike(fingerprint, crash, m_node.reactor().now());
+    }
+    m_seenRevision = state.revision();
+}
+
+} // namespace Node
--- /dev/null
+++ b/src/libs/operations/fleetclient.cpp
@@ -0,0 +1,179 @@
+#include "fleetclient.h"
+
+#include <control/acceptancetracker.h>
+#include <control/peeranswer.h>
+#include <links/linkchannel.h>
+#include <net/httpclient.h>
+#include <net/reactor.h>
+#include <platform/controlstore.h>
+#include <platform/httpobjectstore.h>
+#include <platform/httptableservice.h>
+#include <protocol/codec.h>
+
+namespace Operations {
+
+using Control::Revision;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds tableTimeout(2000);
+constexpr std::chrono::milliseconds roundPeriod(150);
+
+} // namespace
+
+struct FleetClient::Private
+{
+    /// One wait for a revision to be accepted.
+    struct Wait
+    {
+        Control::AcceptanceTracker tracker;
+        Utils::TimePoint until;
+        std::function<void(const AcceptanceReport &)> done;
+        bool isOver = false;
+    };
+
+    Net::Reactor &reactor;
+    FleetClientSettings settings;
+    Net::HttpClient http;
+    Platform::HttpTableService table;
+    Platform::HttpObjectStore objects;
+    Platform::ControlStore store;
+    Control::ControlNode node;
+    Platform::ControlWriter writer;
+    std::map<std::string, std::unique_ptr<Links::LinkChannel>> channels;
+
+    Private(Net::Reactor &loop, const FleetClientSettings &clientSettings)
+        : reactor(loop)
+        , settings(clientSettings)
+        , http(loop)
+        , table(http, clientSettings.platformAddress, tableTimeout)
+        , objects(http, clientSettings.platformAddress)
+        , store(table, objects)
+        , node({clientSettings.name, "operator", "operator"}, {}, loop.now())
+        , writer(node, store)
+    { }
+
+    auto channelTo(const std::string &address) -> Links::LinkChannel &
+    {
+        auto &channel = channels[address];
+        if (!channel)
+            channel = std::make_unique<Links::LinkChannel>(reactor, settings.name, address,
+                                                           settings.fleetSecret);
+        return *channel;
+    }
+
+    auto askRound(const std::shared_ptr<Wait> &wait) -> void
+    {
+        if (finishIfOver(wait))
+            return;
+        const int round = wait->tracker.round();
+        const std::string ask = Protocol::encode({{"after", node.state().revision()}});
+        for (const auto &[name, instance] : node.state().registry()) {
+            const auto take = [this, wait, round](const std::string &message) {
+                const auto document = Protocol::decode(message);
+                const auto answer =
+                    document ? Control::peerAnswerFromJson(*document) : std::nullopt;
+                if (answer)
+                    wait->tracker.takeAnswer(round, answer->name, answer->incarnation,
+                                             answer->revision);
+                finishIfOver(wait);
+            };
+            channelTo(instance.address)
+                .call(Protocol::Path::controlPull, ask, take, [](Links::LinkOutcome) {});
+        }
+        reactor.callAfter(roundPeriod, [this, wait] { askRound(wait); });
+    }
+
+    auto finishIfOver(const std::shared_ptr<Wait> &wait) -> bool
+    {
+        if (!wait->isOver && (wait->tracker.isAccepted() || reactor.now() >= wait->until)) {
+            wait->isOver = true;
+            wait->done({wait->tracker.isAccepted(), wait->tracker.holderCount(),
+                        wait->tracker.registeredCount()});
+        }
+        return wait->isOver;
+    }
+};
+
+FleetClient::FleetClient(Net::Reactor &reactor, const FleetClientSettings &settings)
+    : d(std::make_unique<Private>(reactor, settings))
+{ }
+
+FleetClient::~FleetClient() = default;
+
+auto FleetClient::state() const -> const Control::ControlState &
+{
+    return d->node.state();
+}
+
+auto FleetClient::refresh(std::function<void(const Utils::Result<void, std::string> &)> done)
+    -> void
+{
+    d->store.readAfter(
+        d->node.state().revision(), [this, done = std::move(done)](const auto &answer) {
+            if (!answer) {
+                done(tl::unexpected(std::string("the platform's store does not answer")));
+                return;
+            }
+            d->node.takeOwnRead(*answer);
+            if (d->node.state().revision() < answer->head)
+                refresh(done);
+            else
+                done({});
+        });
+}
+
+auto FleetClient::propose(Platform::Proposal proposal, Platform::ControlWriter::DoneCallback done)
+    -> void
+{
+    d->writer.propose(std::move(proposal), std::move(done));
+}
+
+auto FleetClient::awaitAcceptance(Revision revision, Utils::Duration limit,
+                                  std::function<void(const AcceptanceReport &)> done) -> void
+{
+    const auto wait = std::make_shared<Private::Wait>(
+        Private::Wait{Control::AcceptanceTracker(d->node.state(), revision),
+                      d->reactor.now() + limit, std::move(done), false});
+    d->askRound(wait);
+}
+
+auto FleetClient::askAll(const std::string &role, const std::string &path, const json &question,
+                         Utils::Duration limit,
+                         std::function<void(const std::map<std::string, json> &)> done) -> void
+{
+    struct Survey
+    {
+        std::map<std::string, json> answers;
+        size_t open = 0;
+        std::function<void(const std::map<std::string, json> &)> done;
+    };
+    const auto survey = std::make_shared<Survey>();
+    survey->done = std::move(done);
+    const auto finish = [survey] {
+        const auto callback = std::exchange(survey->done, nullptr);
+        if (callback)
+            callback(survey->answers);
+    };
+    std::map<std::string, std::string> asked;
+    for (const auto &[name, instance] : d->node.state().registry()) {
+        if (role.empty() || instance.role == role)
+            asked[name] = instance.address;
+    }
+    survey->open = asked.size();
+    d->reactor.callAfter(asked.empty() ? Utils::Duration::zero() : limit, finish);
+    for (const auto &[name, address] : asked) {
+        const auto take = [survey, name = name](const std::string &message) {
+            if (const auto document = Protocol::decode(message))
+                survey->answers[name] = *document;
+        };
+        d->channelTo(address).call(path, Protocol::encode(question), take,
+                                   [survey, finish](Links::LinkOutcome) {
+                                       if (--survey->open == 0)
+                                           finish();
+                                   });
+    }
+}
+
+} // namespace Operations
--- /dev/null
+++ b/src/libs/operations/fleetclient.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <control/controlnode.h>
+#include <platform/controlwriter.h>
+#include <utils/result.h>
+#include <utils/timepoint.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Net {
+class Reactor;
+}
+
+namespace Operations {
+
+/// What a fleet client needs to know.
+struct FleetClientSettings
+{
+    std::string name;
+    std::string platformAddress;
+    std::string fleetSecret;
+};
+
+/// How far a stored revision has spread.
+struct AcceptanceReport
+{
+    bool isAccepted = false;
+    size_t holders = 0;
+    size_t registered = 0;
+};
+
+/// An operator's access to the fleet: reads and changes the control state through the store, and
+/// asks the processes over links.
+class FleetClient
+{
+public:
+    FleetClient(Net::Reactor &reactor, const FleetClientSettings &settings);
+    ~FleetClient();
+
+    auto state() const -> const Control::ControlState &;
+    /// Reads the control state up to its head.
+    auto refresh(std::function<void(const Utils::Result<void, std::string> &)> done) -> void;
+    auto propose(Platform::Proposal proposal, Platform::ControlWriter::DoneCallback done) -> void;
+    /// Waits until the revision is accepted, at most `limit`.
+    auto awaitAcceptance(Control::Revision revision, Utils::Duration limit,
+                         std::function<void(const AcceptanceReport &)> done) -> void;
+    /// Asks every registered process of the role ("" for all); gives the answers by name.
+    auto askAll(const std::string &role, const std::string &path, const nlohmann::json &question,
+                Utils::Duration limit,
+                std::function<void(const std::map<std::string, nlohmann::json> &)> done) -> void;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Operations
--- /dev/null
+++ b/src/libs/operations/rulemerge.cpp
@@ -0,0 +1,180 @@
+#include "rulemerge.h"
+
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace Operations {
+
+using Control::ControlState;
+using Control::Revision;
+
+namespace {
+
+const std::string baseMark = "# base revision ";
+
+/// Text of a line; nothing while there is no such line.
+using LineText = std::optional<std::string>;
+
+auto textOf(const nlohmann::json &value) -> std::string
+{
+    return value.value("text", "");
+}
+
+auto textNow(const ControlState &state, const std::string &itemKey) -> LineText
+{
+    const auto *item = state.item(itemKey);
+    return item ? LineText(textOf(item->value)) : std::nullopt;
+}
+
+/// What the kept changes after `base` did to the lines: the keys they touched, and each key's text
+/// at `base` where the kept changes before it tell.
+struct History
+{
+    std::set<std::string> touched;
+    std::map<std::string, LineText> before;
+    bool isComplete = true;
+};
+
+auto readHistory(const ControlState &state, Revision base) -> History
+{
+    History history;
+    const auto after = state.changesAfter(base);
+    history.isComplete = after.has_value();
+    for (const auto &change : after.value_or(std::vector<Control::Change>())) {
+        for (const auto &[key, value] : change.puts)
+            history.touched.insert(key);
+        history.touched.insert(change.deletes.begin(), change.deletes.end());
+    }
+    const auto &kept = state.keptChanges();
+    for (const auto &change : kept) {
+        if (change.revision > base)
+            break;
+        for (const auto &key : change.deletes)
+            history.before[key] = std::nullopt;
+        for (const auto &[key, value] : change.puts)
+            history.before[key] = textOf(value);
+    }
+    // The kept changes go back to the beginning: whatever they don't mention was not there.
+    if (!kept.empty() && kept.front().revision == 1) {
+        for (const auto &key : history.touched)
+            history.before.try_emplace(key, std::nullopt);
+    }
+    return history;
+}
+
+/// Merges one line after the other.
+class Merger
+{
+public:
+    Merger(const ControlState &state, Revision base)
+        : m_state(state)
+        , m_history(readHistory(state, base))
+    { }
+
+    auto mergeLine(const std::string &key, const Rules::Rule *rule) -> void
+    {
+        const std::string itemKey = Control::ruleItemPrefix + key;
+        const LineText mine = rule ? LineText(rule->source.text) : std::nullopt;
+        const LineText theirs = textNow(m_state, itemKey);
+        if (mine == theirs)
+            return;
+        if (m_history.touched.count(itemKey) > 0 || !m_history.isComplete) {
+            const auto known = m_history.before.find(itemKey);
+            // Only they touched it: theirs stays.
+            if (known != m_history.before.end() && known->second == mine)
+                return;
+            if (known == m_history.before.end() || known->second != theirs) {
+                addConflict(key, itemKey, mine, theirs);
+                return;
+            }
+        }
+        if (rule)
+            result.edit.puts[itemKey] = Control::ruleItem(*rule);
+        else
+            result.edit.deletes.push_back(itemKey);
+        const auto kind = !theirs ? LineChange::Kind::Added
+            : !mine               ? LineChange::Kind::Removed
+                                  : LineChange::Kind::Changed;
+        result.changes.push_back({kind, theirs.value_or(""), mine.value_or("")});
+    }
+
+    MergeResult result;
+
+private:
+    auto addConflict(const std::string &key, const std::string &itemKey, const LineText &mine,
+                     const LineText &theirs) -> void
+    {
+        const auto *item = m_state.item(itemKey);
+        const std::string person = item ? item->value.value("person", "") : std::string();
+        result.conflicts.push_back({key, mine.value_or(""), theirs.value_or(""), person});
+    }
+
+    const ControlState &m_state;
+    History m_history;
+};
+
+} // namespace
+
+auto mergeRules(const ControlState &state, Revision base, const std::vector<Rules::Rule> &rules)
+    -> MergeResult
+{
+    Merger merger(state, base);
+    std::set<std::string> wanted;
+    for (const auto &rule : rules) {
+        wanted.insert(rule.key());
+        merger.mergeLine(rule.key(), &rule);
+    }
+    for (const auto &[key, item] : state.itemsUnder(Control::ruleItemPrefix)) {
+        if (wanted.count(key) == 0)
+            merger.mergeLine(key, nullptr);
+    }
+    return merger.result;
+}
+
+auto withdrawKey(const ControlState &state, const std::string &keyHash)
+    -> Utils::Result<Platform::ControlEdit, std::string>
+{
+    Platform::ControlEdit edit;
+    const std::string keyItem = Control::ruleItemPrefix + "key/" + keyHash;
+    if (state.item(keyItem))
+        edit.deletes.push_back(keyItem);
+    const std::string mention = " key sha256:" + keyHash;
+    for (const auto &[key, item] : state.itemsUnder(Control::ruleItemPrefix + "customer/")) {
+        nlohmann::json value = item->value;
+        std::string text = textOf(value);
+        const auto at = text.find(mention);
+        if (at == std::string::npos)
+            continue;
+        value["text"] = text.erase(at, mention.size());
+        edit.puts[Control::ruleItemPrefix + "customer/" + key] = value;
+    }
+    if (edit.isEmpty())
+        return tl::unexpected("no line grants the key sha256:" + keyHash);
+    return edit;
+}
+
+auto rulesFileText(const ControlState &state) -> std::string
+{
+    std::string text = baseMark + std::to_string(state.revision()) + "\n";
+    for (const auto &[key, item] : state.itemsUnder(Control::ruleItemPrefix))
+        text += textOf(item->value) + "\n";
+    return text;
+}
+
+auto baseRevisionOf(const std::string &fileText) -> std::optional<Revision>
+{
+    std::istringstream lines(fileText);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.rfind(baseMark, 0) != 0)
+            continue;
+        std::istringstream number(line.substr(baseMark.size()));
+        Revision revision = 0;
+        if (number >> revision)
+            return revision;
+    }
+    return std::nullopt;
+}
+
+} // namespace Operations
--- /dev/null
+++ b/src/libs/placement/planner.cpp
@@ -0,0 +1,148 @@
+#include "planner.h"
+
+#include <utils/rendezvous.h>
+
+#include <algorithm>
+
+namespace Placement {
+
+namespace {
+
+/// Plans all models together, so that permits spread by the memory they stand for.
+class PlanRun
+{
+public:
+    explicit PlanRun(const PlannerInput &input)
+        : m_input(input)
+    { }
+
+    auto run() -> std::map<std::string, Permit>
+    {
+        for (const auto &[model, permit] : m_input.permits)
+            m_permits[model] = withoutGone(permit);
+        for (const auto &[model, permit] : m_permits)
+            countPromised(model, permit);
+        for (const auto &[model, rule] : m_input.rules->models())
+            planModel(rule.body);
+        for (auto &[model, permit] : m_permits) {
+            if (!m_input.rules->model(model))
+                revokeAll(permit);
+        }
+        return changed();
+    }
+
+private:
+    auto withoutGone(Permit permit) const -> Permit
+    {
+        for (const auto &name : m_input.goneServers) {
+            permit.granted.erase(name);
+            permit.revoked.erase(name);
+        }
+        return permit;
+    }
+
+    auto countPromised(const std::string &model, const Permit &permit) -> void
+    {
+        const auto *rule = m_input.rules->model(model);
+        for (const auto &name : permit.granted)
+            m_promisedBytes[name] += rule ? rule->body.memoryBytes : 0;
+    }
+
+    auto isSuitable(const Rules::ModelRule &rule, const std::string &serverName) const -> bool
+    {
+        const auto found = m_input.servers.find(serverName);
+        return found != m_input.servers.end() && !found->second.isLeaving
+            && found->second.group == rule.engines && found->second.memoryBytes >= rule.memoryBytes;
+    }
+
+    static auto revoke(Permit &permit, const std::string &serverName) -> void
+    {
+        permit.granted.erase(serverName);
+        permit.revoked.insert(serverName);
+    }
+
+    static auto revokeAll(Permit &permit) -> void
+    {
+        const auto granted = permit.granted;
+        for (const auto &name : granted)
+            revoke(permit, name);
+    }
+
+    auto planModel(const Rules::ModelRule &rule) -> void
+    {
+        Permit &permit = m_permits[rule.name];
+        const auto granted = permit.granted;
+        for (const auto &name : granted) {
+            if (!isSuitable(rule, name))
+                revoke(permit, name);
+        }
+        const auto replicas = static_cast<size_t>(rule.replicas);
+        while (permit.granted.size() > replicas)
+            revoke(permit, *permit.granted.rbegin());
+        while (permit.holderCount() < replicas) {
+            const std::string next = bestServer(rule, permit);
+            if (next.empty())
+                return;
+            permit.granted.insert(next);
+            m_promisedBytes[next] += rule.memoryBytes;
+        }
+    }
+
+    auto domainsOf(const Permit &permit) const -> std::set<std::string>
+    {
+        std::set<std::string> domains;
+        for (const auto &name : permit.granted)
+            domains.insert(m_input.servers.at(name).failureDomain);
+        return domains;
+    }
+
+    /// Another failure domain first, then the least promised memory, then the stable order.
+    auto bestServer(const Rules::ModelRule &rule, const Permit &permit) const -> std::string
+    {
+        const auto domains = domainsOf(permit);
+        std::string best;
+        std::tuple<bool, double, std::uint64_t> bestRank;
+        for (const auto &[name, server] : m_input.servers) {
+            if (!isSuitable(rule, name) || permit.granted.count(name) > 0
+                || permit.revoked.count(name) > 0)
+                continue;
+            const auto promised = m_promisedBytes.find(name);
+            const double promisedBytes =
+                promised == m_promisedBytes.end() ? 0.0 : static_cast<double>(promised->second);
+            const double fill = promisedBytes / static_cast<double>(server.memoryBytes);
+            const std::tuple rank(domains.count(server.failureDomain) > 0, fill,
+                                  Utils::stableHash(rule.name + "\n" + name));
+            if (best.empty() || rank < bestRank) {
+                best = name;
+                bestRank = rank;
+            }
+        }
+        return best;
+    }
+
+    auto changed() const -> std::map<std::string, Permit>
+    {
+        std::map<std::string, Permit> result;
+        for (const auto &[model, permit] : m_permits) {
+            const auto before = m_input.permits.find(model);
+            const bool isSame = before == m_input.permits.end() ? permit.holderCount() == 0
+                                                                : before->second == permit;
+            if (!isSame)
+                result[model] = permit;
+        }
+        return result;
+    }
+
+    const PlannerInput &m_input;
+    std::map<std::string, Permit> m_permits;
+    std::map<std::string, std::uint64_t> m_promisedBytes;
+};
+
+} // namespace
+
+auto planPermits(const PlannerInput &input) -> std::map<std::string, Permit>
+{
+    return PlanRun(input).run();
+}
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/placement/wakepolicy.cpp
@@ -0,0 +1,68 @@
+#include "wakepolicy.h"
+
+#include <utils/rendezvous.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace Placement {
+
+namespace {
+
+/// Queued requests that make a second loaded holder worth its while.
+constexpr int spillQueue = 4;
+
+auto sortedNames(std::vector<WakeCandidate> candidates, const auto &rankOf)
+    -> std::vector<std::string>
+{
+    std::stable_sort(
+        candidates.begin(), candidates.end(),
+        [&rankOf](const auto &left, const auto &right) { return rankOf(left) < rankOf(right); });
+    std::vector<std::string> names;
+    names.reserve(candidates.size());
+    for (auto &candidate : candidates)
+        names.push_back(std::move(candidate.server));
+    return names;
+}
+
+/// All entries come to the same order, so that the first requests for a sleeping model meet at one
+/// holder and cause one load.
+class NearestWakePolicy : public WakePolicy
+{
+public:
+    auto rank(const std::string &model, std::vector<WakeCandidate> candidates) const
+        -> std::vector<std::string> override
+    {
+        return sortedNames(std::move(candidates), [&model](const WakeCandidate &candidate) {
+            const int spill = candidate.isLoaded ? candidate.queuedRequests / spillQueue : 0;
+            return std::tuple(!candidate.isLoaded, spill, candidate.nearest,
+                              !candidate.hasFreeMemory,
+                              Utils::stableHash(model + "\n" + candidate.server));
+        });
+    }
+};
+
+class LeastLoadedWakePolicy : public WakePolicy
+{
+public:
+    auto rank(const std::string &, std::vector<WakeCandidate> candidates) const
+        -> std::vector<std::string> override
+    {
+        return sortedNames(std::move(candidates), [](const WakeCandidate &candidate) {
+            return std::tuple(candidate.queuedRequests, !candidate.isInCallersDomain);
+        });
+    }
+};
+
+} // namespace
+
+auto makeWakePolicy(const std::string &name) -> std::unique_ptr<WakePolicy>
+{
+    if (name == "nearest")
+        return std::make_unique<NearestWakePolicy>();
+    if (name == "least-loaded")
+        return std::make_unique<LeastLoadedWakePolicy>();
+    return nullptr;
+}
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/platform/controlwriter.cpp
@@ -0,0 +1,185 @@
+#include "controlwriter.h"
+
+#include <control/controlconstants.h>
+#include <utils/hashing.h>
+
+#include <chrono>
+#include <deque>
+
+namespace Platform {
+
+using Control::Change;
+using Control::Revision;
+
+namespace {
+
+constexpr int mostAttempts = 12;
+constexpr int tokenBytes = 12;
+
+auto wallClockMs() -> std::int64_t
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+struct ControlWriter::Private : std::enable_shared_from_this<ControlWriter::Private>
+{
+    struct Work
+    {
+        Proposal proposal;
+        DoneCallback done;
+        std::string token;
+        int attempts = 0;
+        bool answerLost = false;
+    };
+
+    Control::ControlNode &node;
+    ControlStore &store;
+    std::deque<Work> queue;
+    bool isRunning = false;
+
+    Private(Control::ControlNode &controlNode, ControlStore &controlStore)
+        : node(controlNode)
+        , store(controlStore)
+    { }
+
+    auto start() -> void
+    {
+        if (isRunning || queue.empty())
+            return;
+        isRunning = true;
+        refresh();
+    }
+
+    auto finish(const Utils::Result<Revision, ProposalError> &result) -> void
+    {
+        const auto done = std::move(queue.front().done);
+        queue.pop_front();
+        isRunning = false;
+        done(result);
+        start();
+    }
+
+    auto fail(ProposalError::Kind kind, const std::string &detail) -> void
+    {
+        finish(tl::unexpected(ProposalError{kind, detail, queue.front().answerLost}));
+    }
+
+    /// Reads the log up to its head, looking out for this proposal's own token.
+    auto refresh() -> void
+    {
+        const Revision after = node.state().revision();
+        store.readAfter(after, [self = shared_from_this()](const auto &answer) {
+            if (answer)
+                self->takeLog(*answer);
+            else
+                self->fail(ProposalError::Kind::Unavailable,
+                           "the control state can't be read from the store");
+        });
+    }
+
+    auto takeLog(const Control::StoreAnswer &answer) -> void
+    {
+        node.takeOwnRead(answer);
+        for (const auto &change : answer.changes) {
+            if (change.token == queue.front().token) {
+                finish(change.revision);
+                return;
+            }
+        }
+        if (node.state().revision() < answer.head)
+            refresh();
+        else
+            attempt();
+    }
+
+    auto attempt() -> void
+    {
+        Work &work = queue.front();
+        if (tookEffectEarlier(work))
+            return;
+        const auto edit = work.proposal.edit(node.state());
+        if (!edit) {
+            fail(ProposalError::Kind::Withdrawn, edit.error());
+            return;
+        }
+        if (edit->isEmpty()) {
+            finish(node.state().revision());
+            return;
+        }
+        if (++work.attempts > mostAttempts) {
+            fail(ProposalError::Kind::TooManyConflicts, "other changes came first each time");
+            return;
+        }
+        Change change{node.state().revision() + 1,
+                      work.token,
+                      work.proposal.author,
+                      work.proposal.reason,
+                      wallClockMs(),
+                      edit->puts,
+                      edit->deletes};
+        store.commit(change, edit->conditions,
+                     [self = shared_from_this(), change](const auto &result) {
+                         self->takeResult(change, result);
+                     });
+    }
+
+    /// The pull loop may have read our own change before we did.
+    auto tookEffectEarlier(const Work &work) -> bool
+    {
+        if (!work.answerLost)
+            return false;
+        const auto kept =
+            node.state().changesAfter(work.attempts > 0 ? firstBase : node.state().revision());
+        if (!kept)
+            return false;
+        for (const auto &change : *kept) {
+            if (change.token == work.token) {
+                finish(change.revision);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    auto takeResult(const Change &change, const Utils::Result<void, ControlStoreError> &result)
+        -> void
+    {
+        if (result) {
+            node.takeOwnChange(change);
+            if (change.revision % Control::Constants::SnapshotInterval == 0)
+                store.writeSnapshot(node.state());
+            finish(change.revision);
+            return;
+        }
+        if (result.error() != ControlStoreError::Conflict && !queue.front().answerLost) {
+            queue.front().answerLost = true;
+            firstBase = change.revision - 1;
+        }
+        refresh();
+    }
+
+    Revision firstBase = 0;
+};
+
+ControlWriter::ControlWriter(Control::ControlNode &node, ControlStore &store)
+    : d(std::make_shared<Private>(node, store))
+{ }
+
+ControlWriter::~ControlWriter() = default;
+
+auto ControlWriter::propose(Proposal proposal, DoneCallback done) -> void
+{
+    d->queue.push_back(
+        {std::move(proposal), std::move(done), Utils::randomHex(tokenBytes), 0, false});
+    d->start();
+}
+
+auto ControlWriter::isBusy() const -> bool
+{
+    return d->isRunning;
+}
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/platform/instancelist.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <utils/result.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace Platform {
+
+/// What the platform says of one instance; the list lags.
+enum class InstanceStatus { Live, Leaving, Gone };
+
+using InstanceStatuses = std::map<std::string, InstanceStatus>;
+
+/// The platform's list of instances.
+class InstanceList
+{
+public:
+    using Callback = std::function<void(const Utils::Result<InstanceStatuses, std::string> &)>;
+
+    virtual ~InstanceList() = default;
+    virtual auto read(Callback done) -> void = 0;
+};
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/protocol/codec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+namespace Protocol {
+
+/// A document as MessagePack, the encoding between the system's own processes.
+auto encode(const nlohmann::json &document) -> std::string;
+/// Nothing when the bytes are not MessagePack.
+auto decode(const std::string &bytes) -> std::optional<nlohmann::json>;
+
+/// Paths of the calls between processes.
+namespace Path {
+extern const std::string controlPull;
+extern const std::string run;
+extern const std::string resume;
+extern const std::string cancel;
+extern const std::string contractAsk;
+extern const std::string contractGive;
+extern const std::string contractAcknowledge;
+extern const std::string loadSlot;
+extern const std::string loadSlotReturn;
+extern const std::string strike;
+extern const std::string status;
+extern const std::string explain;
+} // namespace Path
+
+} // namespace Protocol
--- /dev/null
+++ b/src/libs/protocol/runrequest.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Protocol {
+
+/// A caller's request on its way from an entry to an agent. The caller's key is not part of it.
+struct RunRequest
+{
+    std::string requestId;
+    std::string customer;
+    std::string keyHash; ///< Lets the agent check again that the key is still granted.
+    double weight = 1;
+    double cost = 0; ///< Estimated tokens.
+    std::string model; ///< Empty for a plain service.
+    std::string adapter; ///< Empty for the model itself.
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    std::chrono::milliseconds timeLeft{0};
+    std::string submissionIdentity; ///< Set when the request may run at most once.
+    std::string fingerprint;
+    std::vector<std::string> crashes; ///< Crashes that earlier attempts ended in.
+};
+
+auto toJson(const RunRequest &request) -> nlohmann::json;
+auto runRequestFromJson(const nlohmann::json &document) -> std::optional<RunRequest>;
+
+/// Asks for the rest of an answer after a connection was lost, or to end it.
+struct ResumeRequest
+{
+    std::string requestId;
+    std::uint64_t offset = 0; ///< Bytes of the answer's body received so far.
+    bool hasBegun = false; ///< Whether the answer's head was received.
+};
+
+auto toJson(const ResumeRequest &request) -> nlohmann::json;
+auto resumeRequestFromJson(const nlohmann::json &document) -> std::optional<ResumeRequest>;
+
+} // namespace Protocol
--- /dev/null
+++ b/src/libs/standins/standintable.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <platform/tabletransaction.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace StandIns {
+
+/// A transactional table in memory.
+class StandInTable
+{
+public:
+    /// False, and no effect, when a condition does not hold.
+    auto commit(const Platform::TableTransaction &transaction) -> bool;
+    auto scan(const std::string &first, const std::string &last, size_t limit) const
+        -> std::vector<Platform::TableRow>;
+    auto versionOf(const std::string &key) const -> std::uint64_t;
+
+private:
+    std::map<std::string, Platform::TableRow> m_rows;
+};
+
+} // namespace StandIns
--- /dev/null
+++ b/src/libs/submissions/submissionkeeper.cpp
@@ -0,0 +1,175 @@
+#include "submissionkeeper.h"
+
+#include <utils/hashing.h>
+
+namespace Submissions {
+
+using Platform::TableError;
+using Platform::TableRow;
+using Platform::TableTransaction;
+
+namespace {
+
+constexpr int tokenBytes = 16;
+/// Attempts at recording an answer before it is left as it is.
+constexpr int mostRecordAttempts = 5;
+
+} // namespace
+
+struct SubmissionKeeper::Private : std::enable_shared_from_this<SubmissionKeeper::Private>
+{
+    /// One caller's wish to run a submission, carried through the attempts.
+    struct Claim
+    {
+        std::string key;
+        SubmissionRecord record;
+        std::uint64_t expectedVersion = 0;
+        bool isRetry = false;
+        BeginCallback done;
+    };
+
+    Platform::TableService &table;
+    WallClock wallClock;
+
+    Private(Platform::TableService &tableService, WallClock clock)
+        : table(tableService)
+        , wallClock(std::move(clock))
+    { }
+
+    auto write(const std::string &key, std::uint64_t expectedVersion,
+               const SubmissionRecord &record, Platform::TableService::CommitCallback done) -> void
+    {
+        TableTransaction transaction;
+        transaction.conditions.push_back({key, expectedVersion});
+        transaction.writes.push_back({key, toJson(record)});
+        table.commit(transaction, std::move(done));
+    }
+
+    auto claim(const Claim &wanted) -> void
+    {
+        write(wanted.key, wanted.expectedVersion, wanted.record,
+              [self = shared_from_this(), wanted](const auto &result) {
+                  const bool isLost = !result && result.error() != TableError::Conflict;
+                  if (result)
+                      wanted.done(RunNow{wanted.record.token, wanted.expectedVersion + 1});
+                  else if (isLost && wanted.isRetry)
+                      self->giveUp(wanted);
+                  else
+                      self->readBack(wanted);
+              });
+    }
+
+    /// After a conflict or a lost answer: the row says whose it is.
+    auto readBack(const Claim &wanted) -> void
+    {
+        table.read(wanted.key, [self = shared_from_this(), wanted](const auto &row) {
+            if (!row)
+                self->giveUp(wanted);
+            else
+                self->judge(*row, wanted);
+        });
+    }
+
+    auto judge(const TableRow &row, Claim wanted) -> void
+    {
+        const auto found = submissionRecordFromJson(row.value);
+        if (row.version == wanted.expectedVersion) {
+            // Not there yet: the same token again, so that both attempts count as one.
+            wanted.isRetry = true;
+            claim(wanted);
+        } else if (!found) {
+            wanted.done(NotNow::Unknown);
+        } else if (found->token == wanted.record.token) {
+            wanted.done(RunNow{wanted.record.token, row.version});
+        } else if (found->isAbandoned) {
+            wanted.expectedVersion = row.version;
+            claim(wanted);
+        } else {
+            wanted.done(outcomeOf(*found, wanted.record));
+        }
+    }
+
+    auto outcomeOf(const SubmissionRecord &found, const SubmissionRecord &mine) const -> BeginResult
+    {
+        if (found.bodyHash != mine.bodyHash)
+            return NotNow::IdentityReused;
+        if (found.answer)
+            return AlreadyAnswered{*found.answer};
+        const bool mayStillRun = !found.isUnknown && wallClock().count() < found.deadlineMs;
+        return mayStillRun ? NotNow::InProgress : NotNow::Unknown;
+    }
+
+    auto giveUp(const Claim &wanted) -> void
+    {
+        abandonIfMine(wanted.key, wanted.record.token);
+        wanted.done(NotNow::StoreUnavailable);
+    }
+
+    /// Frees an own row whose submission was not dispatched. A failure leaves the row: the
+    /// submission then counts as unknown, which is safe.
+    auto abandonIfMine(const std::string &key, const std::string &token) -> void
+    {
+        table.read(key, [self = shared_from_this(), key, token](const auto &row) {
+            const auto found = row ? submissionRecordFromJson(row->value) : std::nullopt;
+            if (!found || found->token != token || found->answer)
+                return;
+            SubmissionRecord record = *found;
+            record.isAbandoned = true;
+            self->write(key, row->version, record, [](const auto &) {});
+        });
+    }
+
+    auto record(const std::string &key, std::uint64_t version, const SubmissionRecord &finished,
+                int attempt, const std::function<void(bool)> &done) -> void
+    {
+        write(
+            key, version, finished,
+            [self = shared_from_this(), key, version, finished, attempt, done](const auto &result) {
+                if (result)
+                    done(true);
+                else if (result.error() == TableError::Conflict)
+                    // Only this process writes the row now, so an earlier attempt's answer was
+                    // lost.
+                    done(attempt > 1);
+                else if (attempt < mostRecordAttempts)
+                    self->record(key, version, finished, attempt + 1, done);
+                else
+                    done(false);
+            });
+    }
+};
+
+SubmissionKeeper::SubmissionKeeper(Platform::TableService &table, WallClock wallClock)
+    : d(std::make_shared<Private>(table, std::move(wallClock)))
+{ }
+
+SubmissionKeeper::~SubmissionKeeper() = default;
+
+auto SubmissionKeeper::begin(const SubmissionIdentity &identity, const std::string &bodyHash,
+                             std::chrono::milliseconds timeLeft, BeginCallback done) -> void
+{
+    SubmissionRecord record;
+    record.token = Utils::randomHex(tokenBytes);
+    record.bodyHash = bodyHash;
+    record.deadlineMs = (d->wallClock() + timeLeft).count();
+    d->claim({identity.rowKey(), record, 0, false, std::move(done)});
+}
+
+auto SubmissionKeeper::finish(const SubmissionIdentity &identity, const RunNow &run,
+                              const std::string &bodyHash, std::optional<RecordedAnswer> answer,
+                              const std::function<void(bool)> &done) -> void
+{
+    SubmissionRecord record;
+    record.token = run.token;
+    record.bodyHash = bodyHash;
+    record.isUnknown = !answer.has_value();
+    record.answer = std::move(answer);
+    d->record(identity.rowKey(), run.version, record, 1, done);
+}
+
+auto SubmissionKeeper::abandon(const SubmissionIdentity &identity, const RunNow &run) -> void
+{
+    d->abandonIfMine(identity.rowKey(), run.token);
+}
+
+} // namespace Submissions
--- /dev/null
+++ b/src/libs/submissions/submissionkeeper.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <platform/tableservice.h>
+#include <submissions/submissionrecord.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace Submissions {
+
+/// The submission was not seen before; it is this process's to run, once, under `token`.
+struct RunNow
+{
+    std::string token;
+    std::uint64_t version = 0; ///< Of the row that this process inserted.
+};
+
+/// It ran before and got this answer.
+struct AlreadyAnswered
+{
+    RecordedAnswer answer;
+};
+
+/// It can't be run now, for one of these reasons. None of them leaves it to run later.
+enum class NotNow {
+    InProgress,
+    Unknown, ///< It may have run; it will not be run again.
+    IdentityReused, ///< Another body came with the same identity.
+    StoreUnavailable, ///< Nothing was dispatched.
+};
+
+using BeginResult = std::variant<RunNow, AlreadyAnswered, NotNow>;
+
+/// Makes a submission run at most once: its row is written before the dispatch and is never
+/// deleted, so its version only grows; whoever wrote it last is the only one to run it.
+class SubmissionKeeper
+{
+public:
+    using BeginCallback = std::function<void(const BeginResult &)>;
+    using WallClock = std::function<std::chrono::milliseconds()>;
+
+    SubmissionKeeper(Platform::TableService &table, WallClock wallClock);
+    ~SubmissionKeeper();
+
+    auto begin(const SubmissionIdentity &identity, const std::string &bodyHash,
+               std::chrono::milliseconds timeLeft, BeginCallback done) -> void;
+    /// Records the answer, or that the outcome is unknown. `done` tells whether the row holds it.
+    auto finish(const SubmissionIdentity &identity, const RunNow &run, const std::string &bodyHash,
+                std::optional<RecordedAnswer> answer,
+                const std::function<void(bool recorded)> &done) -> void;
+    /// The row was inserted but the dispatch proved not to have happened: lets the caller try
+    /// again.
+    auto abandon(const SubmissionIdentity &identity, const RunNow &run) -> void;
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace Submissions
--- /dev/null
+++ b/src/libs/utils/eventlog.cpp
@@ -0,0 +1,111 @@
+#include "eventlog.h"
+
+#include <easylogging++.h>
+
+#include <algorithm>
+#include <ctime>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace Utils {
+
+namespace {
+
+auto processNameStorage() -> std::string &
+{
+    static std::string name = "acacia";
+    return name;
+}
+
+auto describe(Event event) -> std::string_view
+{
+    const auto &all = eventCatalogue();
+    const auto found = std::find_if(all.begin(), all.end(),
+                                    [event](const auto &entry) { return entry.event == event; });
+    return found == all.end() ? std::string_view("unlisted") : found->name;
+}
+
+auto wallClockMilliseconds() -> long long
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+auto eventCatalogue() -> const std::vector<EventDescription> &
+{
+    static const std::vector<EventDescription> catalogue = {
+        {Event::AssertionFailed, "assertion-failed",
+         "An internal expectation did not hold; the step was skipped."},
+        {Event::ProcessStarted, "process-started",
+         "Settings were checked and the process listens."},
+        {Event::ProcessStopped, "process-stopped",
+         "The process ends; nothing of its work is left open."},
+        {Event::DrainStarted, "drain-started",
+         "The process takes no new work and finishes what it has."},
+        {Event::RevisionApplied, "revision-applied",
+         "A newer revision of the control state is in force here."},
+        {Event::FreshnessLost, "freshness-lost",
+         "Neither the store nor a majority answered in time; work is refused."},
+        {Event::FreshnessRegained, "freshness-regained",
+         "The control state is proved fresh again."},
+        {Event::StoreUnavailable, "store-unavailable",
+         "The platform's table service did not answer."},
+        {Event::SupersededByNewer, "superseded",
+         "A newer process took over this backend server; this one stops its orders."},
+        {Event::RequestRefused, "request-refused",
+         "A caller got a refusal; reason, rule line and person are given."},
+        {Event::RequestServed, "request-served", "A caller got a whole answer."},
+        {Event::RequestRetried, "request-retried",
+         "A request proved not run was sent to another backend server."},
+        {Event::StreamEnded, "stream-ended",
+         "A running answer was ended early; the reason is given."},
+        {Event::LoadOrdered, "load-ordered", "A model's load was ordered from the backend server."},
+        {Event::LoadConfirmed, "load-confirmed", "The backend server confirmed a load."},
+        {Event::LoadFailed, "load-failed",
+         "A load failed or its answer was lost; memory stays reserved until reconciled."},
+        {Event::UnloadOrdered, "unload-ordered",
+         "A model's unload was ordered from the backend server."},
+        {Event::UnloadConfirmed, "unload-confirmed",
+         "The backend server confirmed an unload; memory is free."},
+        {Event::PermitChanged, "permit-changed",
+         "The planner decided which backend servers may hold a model."},
+        {Event::LinkSilent, "link-silent",
+         "A connection missed its heartbeat; a new one is tried beside it."},
+        {Event::LinkRejected, "link-rejected",
+         "A peer did not prove that it knows the fleet secret."},
+        {Event::SubmissionRecorded, "submission-recorded",
+         "An at-most-once submission's outcome was recorded."},
+        {Event::SubmissionUnknown, "submission-unknown",
+         "A submission may have run; it will not be run again."},
+        {Event::CrashSuspected, "crash-suspected",
+         "A request was in flight when its backend server crashed."},
+        {Event::DutyTaken, "duty-taken", "This process holds a shared duty's lease."},
+        {Event::DutyLost, "duty-lost", "This process no longer holds a shared duty's lease."},
+    };
+    return catalogue;
+}
+
+auto configureLog(const std::string &processName) -> void
+{
+    processNameStorage() = processName;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    el::Loggers::reconfigureAllLoggers(configuration);
+}
+
+auto logEvent(Event event, const nlohmann::json &fields) -> void
+{
+    nlohmann::json line = {{"time", wallClockMilliseconds()},
+                           {"process", processNameStorage()},
+                           {"event", static_cast<int>(event)},
+                           {"name", describe(event)}};
+    line.update(fields);
+    std::cerr << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
+}
+
+} // namespace Utils
--- /dev/null
+++ b/src/libs/utils/nearmatch.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Utils {
+
+/// The candidate closest to `word` by edit distance, or an empty string when none is near.
+auto nearMatch(std::string_view word, const std::vector<std::string> &candidates) -> std::string;
+
+} // namespace Utils
--- /dev/null
+++ b/src/tools/acaciactl/commands.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <app/commandline.h>
+
+#include <string>
+#include <vector>
+
+/// One command of acaciactl.
+struct Command
+{
+    std::string name; ///< One or two words.
+    std::string arguments;
+    std::string meaning;
+    size_t argumentCount = 0;
+    auto(*run)(const App::CommandLine &line, const std::vector<std::string> &arguments)
+        -> int = nullptr;
+};
+
+auto commands() -> const std::vector<Command> &;
--- /dev/null
+++ b/tests/models/freshness.pml
@@ -0,0 +1,118 @@
+/* Freshness of the control state while the store may be out. One change takes the revision from 0 to 1.
+ * Nodes keep nothing over a crash; they refresh from the store, from another node (a relay, taking over
+ * its proof), or from a majority. A proof is as old as the moment at which its first question left.
+ *
+ * Property: a proof that began after the change was accepted comes with revision 1.
+ * Mutants, each of which must be caught:
+ *   ONE_ROUND       accepted after one round of acknowledgements
+ *   FORGETFUL       a restarted node counts in majority reads at once
+ *   OLD_RELAY_PROOF a restarted node counts once it took over a proof from before its start
+ *   NO_MAJORITY     one holder is enough to accept
+ */
+#define N 3
+#define MAJORITY 2
+#ifndef CRASHES
+#define CRASHES 2
+#endif
+
+bit store = 0; bit storeUp = 1; bit accepted = 0;
+bit rev[N];            /* revision held */
+bit hasProof[N];       /* has any proof of freshness */
+bit proofIsLate[N];    /* its proof began after acceptance */
+bit provedSince[9];    /* [j * N + i]: j's proof began after i's latest start */
+bit askedSince[9];     /* the same for the question that j has under way */
+byte incarnation[N];
+byte crashes = 0;
+
+inline forgetStart(i) {
+  byte f; f = 0;
+  do :: f < N -> provedSince[f * N + i] = 0; askedSince[f * N + i] = 0; f++ :: else -> break od; f = 0
+}
+inline beginQuestion(j) {
+  byte b; b = 0;
+  do :: b < N -> askedSince[j * N + b] = 1; b++ :: else -> break od; b = 0
+}
+inline takeOwnProof(j, late) {
+  byte t; t = 0;
+  hasProof[j] = 1; proofIsLate[j] = late;
+  do :: t < N -> provedSince[j * N + t] = askedSince[j * N + t]; t++ :: else -> break od; t = 0
+}
+#if defined(FORGETFUL)
+#define COUNTS(j) 1
+#elif defined(OLD_RELAY_PROOF)
+#define COUNTS(j) (hasProof[j])
+#else
+#define COUNTS(j) (hasProof[j] && provedSince[j * N + j])
+#endif
+
+active proctype Outage() { do :: atomic { storeUp = 1 - storeUp } od }
+
+active proctype Operator() {
+  bit holds[N]; byte heldAs[N]; bit confirmed[N]; byte count = 0; byte i = 0;
+  (storeUp); store = 1;
+#ifdef NO_MAJORITY
+#define ENOUGH 1
+#else
+#define ENOUGH MAJORITY
+#endif
+  do
+  :: count < ENOUGH -> atomic { select(i : 0 .. N - 1);
+       if :: rev[i] && !holds[i] -> holds[i] = 1; heldAs[i] = incarnation[i]; count++ :: else fi; i = 0 }
+  :: count >= ENOUGH -> break
+  od;
+#ifndef ONE_ROUND
+  count = 0;
+  do
+  :: count < ENOUGH -> atomic { select(i : 0 .. N - 1);
+       if :: holds[i] && !confirmed[i] && rev[i] && heldAs[i] == incarnation[i] -> confirmed[i] = 1; count++
+          :: else fi; i = 0 }
+  :: count >= ENOUGH -> break
+  od;
+#endif
+  accepted = 1
+}
+
+proctype Node(byte me) {
+  bit began; bit best; bit answered[N]; byte got; byte j;
+  do
+  :: atomic { crashes < CRASHES -> crashes++; rev[me] = 0; hasProof[me] = 0; proofIsLate[me] = 0;
+       incarnation[me]++; forgetStart(me) }
+  :: atomic { began = accepted; beginQuestion(me) };      /* the store */
+     if
+     :: atomic { storeUp -> rev[me] = store; takeOwnProof(me, began); assert(!began || rev[me]) }
+     :: skip
+     fi;
+     atomic { began = 0 }
+  :: atomic { select(j : 0 .. N - 1);                     /* a relay */
+       if
+       :: j != me && hasProof[j] && COUNTS(j) ->
+            rev[me] = rev[me] | rev[j]; hasProof[me] = 1; proofIsLate[me] = proofIsLate[j]; got = 0;
+            do :: got < N -> provedSince[me * N + got] = provedSince[j * N + got]; got++ :: else -> break od;
+            assert(!proofIsLate[me] || rev[me])
+       :: else
+       fi; j = 0; got = 0 }
+  :: atomic { began = accepted; beginQuestion(me); got = 0; best = 0;   /* a majority */
+       if :: COUNTS(me) -> got = 1; best = rev[me]; answered[me] = 1 :: else fi };
+     do
+     :: got < MAJORITY -> atomic { select(j : 0 .. N - 1);
+          if :: j != me && !answered[j] && COUNTS(j) -> answered[j] = 1; got++; best = best | rev[j]
+             :: else fi; j = 0 }
+     :: atomic { got >= MAJORITY -> rev[me] = rev[me] | best; takeOwnProof(me, began);
+          assert(!began || rev[me]) }; break
+     :: break
+     od;
+     atomic { began = 0; got = 0; best = 0; j = 0;
+       do :: j < N -> answered[j] = 0; j++ :: else -> break od; j = 0 }
+  od
+}
+
+init {
+  byte k = 0;
+  atomic {
+    do
+    :: k < N -> hasProof[k] = 1; provedSince[k * N] = 1; provedSince[k * N + 1] = 1; provedSince[k * N + 2] = 1; k++
+    :: else -> break
+    od;
+    run Node(0); run Node(1); run Node(2)
+  }
+}
