--- a/src/libs/admission/refusal.cpp
+++ b/src/libs/admission/refusal.cpp
@@ -1,6 +1,7 @@
 #include "refusal.h"
 
 #include <algorithm>
+#include <utils/jsonfield.h>
 
 namespace Admission {
 
@@ -104,10 +105,10 @@
         refusal.ran = ran == "no" ? Ran::No : ran == "yes" ? Ran::Yes : Ran::Unknown;
         refusal.retryAfter = std::chrono::milliseconds(
             std::llround(document.at("retryAfter").get<double>() * 1000.0));
-        refusal.detail = document.value("detail", "");
-        refusal.rule = document.value("rule", "");
-        refusal.person = document.value("person", "");
-        refusal.crash = document.value("crash", "");
+        refusal.detail = Utils::fieldOr(document, "detail", "");
+        refusal.rule = Utils::fieldOr(document, "rule", "");
+        refusal.person = Utils::fieldOr(document, "person", "");
+        refusal.crash = Utils::fieldOr(document, "crash", "");
         return refusal;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/libs/agent/dutyrunner.cpp
+++ b/src/libs/agent/dutyrunner.cpp
@@ -10,6 +10,7 @@
 #include <platform/tableservice.h>
 #include <routing/routingconstants.h>
 #include <utils/eventlog.h>
+#include <utils/jsonfield.h>
 
 namespace Agent {
 
@@ -39,10 +40,10 @@
 auto isLeaving(const ControlState &state, const std::string &server, const json &item,
                const Platform::InstanceStatuses &statuses) -> bool
 {
-    const auto status = statuses.find(item.value("agent", ""));
+    const auto status = statuses.find(Utils::fieldOr(item, "agent", ""));
     const bool listedLeaving =
         status != statuses.end() && status->second != Platform::InstanceStatus::Live;
-    return item.value("leaving", false) || state.rules().drain(server) || listedLeaving;
+    return Utils::fieldOr(item, "leaving", false) || state.rules().drain(server) || listedLeaving;
 }
 
 auto readServers(const ControlState &state, const Platform::InstanceStatuses &statuses)
@@ -51,10 +52,11 @@
     std::map<std::string, Placement::PlannedServer> servers;
     for (const auto &[name, item] : state.itemsUnder(backendPrefix)) {
         const json &value = item->value;
-        if (value.value("kind", "") != "engine")
+        if (Utils::fieldOr(value, "kind", "") != "engine")
             continue;
-        servers[name] = {name, value.value("group", ""), value.value("failureDomain", ""),
-                         value.value("memoryBytes", std::uint64_t(0)),
+        servers[name] = {name, Utils::fieldOr(value, "group", ""),
+                         Utils::fieldOr(value, "failureDomain", ""),
+                         Utils::fieldOr(value, "memoryBytes", std::uint64_t(0)),
                          isLeaving(state, name, value, statuses)};
     }
     return servers;
@@ -127,7 +129,7 @@
             edit.deletes.push_back(Control::instanceItemKey(name));
     }
     for (const auto &[server, item] : state.itemsUnder(backendPrefix)) {
-        const auto status = statuses.find(item->value.value("agent", ""));
+        const auto status = statuses.find(Utils::fieldOr(item->value, "agent", ""));
         if (status != statuses.end() && status->second == Platform::InstanceStatus::Gone)
             edit.deletes.push_back(backendPrefix + server);
     }
@@ -138,7 +140,7 @@
     const auto lifetime =
         std::chrono::duration_cast<std::chrono::milliseconds>(Routing::Constants::StrikeLifetime);
     for (const auto &[fingerprint, item] : state.itemsUnder(Node::strikeItemPrefix)) {
-        if (nowMs - item->value.value("at", std::int64_t(0)) > lifetime.count())
+        if (nowMs - Utils::fieldOr(item->value, "at", std::int64_t(0)) > lifetime.count())
             edit.deletes.push_back(Node::strikeItemPrefix + fingerprint);
     }
 }
@@ -197,7 +199,8 @@
         node.table().read(dutyRowKey, [this](const auto &row) {
             if (row)
                 lease.takeRow(
-                    {row->value.is_object() ? row->value.value("holder", "") : "", row->version},
+                    {row->value.is_object() ? Utils::fieldOr(row->value, "holder", "") : "",
+                     row->version},
                     node.reactor().now());
             else
                 lease.takeFailure();
--- a/src/libs/agent/loadslots.cpp
+++ b/src/libs/agent/loadslots.cpp
@@ -10,6 +10,7 @@
 #include <protocol/codec.h>
 
 #include <algorithm>
+#include <utils/jsonfield.h>
 
 namespace Agent {
 
@@ -50,7 +51,7 @@
         if (!item)
             return {};
         const auto &registry = node.state().registry();
-        const auto holder = registry.find(item->value.value("holder", ""));
+        const auto holder = registry.find(Utils::fieldOr(item->value, "holder", ""));
         return holder == registry.end() ? std::string() : holder->second.address;
     }
 
@@ -142,7 +143,8 @@
             return;
         }
         const std::uint64_t number = nextNumber++;
-        const auto timeLeft = std::chrono::milliseconds(ask->value("timeLeft", std::int64_t(0)));
+        const auto timeLeft =
+            std::chrono::milliseconds(Utils::fieldOr(*ask, "timeLeft", std::int64_t(0)));
         remoteNumbers[remoteKey(*ask)] = number;
         remoteWaiting[number] = exchange;
         fleetPacer.request({number, exchange->peer(), node.reactor().now() + timeLeft, 1});
@@ -151,8 +153,8 @@
 
     static auto remoteKey(const nlohmann::json &ask) -> std::string
     {
-        return ask.value("holder", "") + "#"
-            + std::to_string(ask.value("number", std::uint64_t(0)));
+        return Utils::fieldOr(ask, "holder", "") + "#"
+            + std::to_string(Utils::fieldOr(ask, "number", std::uint64_t(0)));
     }
 
     auto takeRemoteReturn(const std::shared_ptr<Links::LinkExchange> &exchange) -> void
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -5,6 +5,7 @@
 #include <rules/ruleparser.h>
 
 #include <algorithm>
+#include <utils/jsonfield.h>
 
 namespace Control {
 
@@ -171,7 +172,8 @@
 {
     std::vector<Rules::Rule> rules;
     for (const auto &[key, item] : itemsUnder(ruleItemPrefix)) {
-        auto rule = Rules::parseRule(item->value.value("text", ""), item->value.value("line", 0));
+        auto rule = Rules::parseRule(Utils::fieldOr(item->value, "text", ""),
+                                     Utils::fieldOr(item->value, "line", 0));
         if (!rule || !*rule)
             continue;
         (*rule)->source.revision = item->revision;
--- a/src/libs/control/peeranswer.cpp
+++ b/src/libs/control/peeranswer.cpp
@@ -1,4 +1,5 @@
 #include "peeranswer.h"
+#include <utils/jsonfield.h>
 
 namespace Control {
 
@@ -29,7 +30,7 @@
         answer.revision = document.at("revision").get<Revision>();
         if (document.contains("age"))
             answer.age = std::chrono::milliseconds(document["age"].get<std::int64_t>());
-        for (const auto &entry : document.value("changes", json::array())) {
+        for (const auto &entry : Utils::fieldOr(document, "changes", json::array())) {
             const auto change = changeFromJson(entry);
             if (!change)
                 return std::nullopt;
--- a/src/libs/entry/backenddirectory.cpp
+++ b/src/libs/entry/backenddirectory.cpp
@@ -5,6 +5,7 @@
 #include <placement/permit.h>
 
 #include <algorithm>
+#include <utils/jsonfield.h>
 
 namespace Entry {
 
@@ -55,9 +56,9 @@
 {
     const auto *item = state.item(backendPrefix + server);
     if (!item || excluded.count(server) > 0 || state.rules().drain(server)
-        || item->value.value("leaving", false))
+        || Utils::fieldOr(item->value, "leaving", false))
         return false;
-    const auto status = m_statuses.find(item->value.value("agent", ""));
+    const auto status = m_statuses.find(Utils::fieldOr(item->value, "agent", ""));
     return status == m_statuses.end() || status->second == Platform::InstanceStatus::Live;
 }
 
@@ -70,7 +71,8 @@
         Placement::WakeCandidate candidate;
         candidate.server = server;
         candidate.isInCallersDomain =
-            state.item(backendPrefix + server)->value.value("failureDomain", "") == m_ownDomain;
+            Utils::fieldOr(state.item(backendPrefix + server)->value, "failureDomain", "")
+            == m_ownDomain;
         const auto found = m_observations.find(server);
         if (found != m_observations.end()
             && now - found->second.at < Constants::ObservationLifetime) {
@@ -89,7 +91,7 @@
             && found->second.unreachableAt != TimePoint()
             && now - found->second.unreachableAt < unreachablePenalty;
         const auto &item = state.item(backendPrefix + server)->value;
-        (isDoubtful ? doubtful : choices).push_back({server, item.value("address", "")});
+        (isDoubtful ? doubtful : choices).push_back({server, Utils::fieldOr(item, "address", "")});
     }
     choices.insert(choices.end(), doubtful.begin(), doubtful.end());
     return choices;
@@ -115,8 +117,8 @@
 {
     std::vector<std::string> servers;
     for (const auto &[server, item] : state.itemsUnder(backendPrefix)) {
-        const bool fits =
-            item->value.value("kind", "") == "service" && item->value.value("group", "") == service;
+        const bool fits = Utils::fieldOr(item->value, "kind", "") == "service"
+            && Utils::fieldOr(item->value, "group", "") == service;
         if (fits && isUsable(state, server, excluded))
             servers.push_back(server);
     }
--- a/src/libs/entry/contractdesk.cpp
+++ b/src/libs/entry/contractdesk.cpp
@@ -13,6 +13,7 @@
 #include <protocol/codec.h>
 
 #include <optional>
+#include <utils/jsonfield.h>
 
 namespace Entry {
 
@@ -187,7 +188,7 @@
     if (!document || !document->is_object())
         return;
     std::vector<Transfer> taken;
-    for (const auto &entry : document->value("transfers", json::array())) {
+    for (const auto &entry : Utils::fieldOr(*document, "transfers", json::array())) {
         const auto transfer = Contracts::transferFromJson(entry);
         if (transfer && book.takeTransfer(*transfer, now()))
             taken.push_back(*transfer);
@@ -247,8 +248,8 @@
 {
     if (!document.is_object())
         return;
-    for (const auto &number : document.value("sequences", std::vector<std::uint64_t>()))
-        book.takeAcknowledgement(document.value("to", ""), number);
+    for (const auto &number : Utils::fieldOr(document, "sequences", std::vector<std::uint64_t>()))
+        book.takeAcknowledgement(Utils::fieldOr(document, "to", ""), number);
 }
 
 auto ContractDesk::Private::resend() -> void
--- a/src/libs/node/fleetnode.cpp
+++ b/src/libs/node/fleetnode.cpp
@@ -16,6 +16,7 @@
 #include <utils/hashing.h>
 
 #include <list>
+#include <utils/jsonfield.h>
 
 namespace Node {
 
@@ -212,7 +213,7 @@
 {
     const auto request = Protocol::decode(exchange->body());
     const Revision after =
-        request && request->contains("after") ? request->value("after", Revision(0)) : 0;
+        request && request->contains("after") ? Utils::fieldOr(*request, "after", Revision(0)) : 0;
     exchange->send(Protocol::encode(Control::toJson(control.answerPeer(after, reactor.now()))));
     exchange->finish();
 }
--- a/src/libs/node/operatorserver.cpp
+++ b/src/libs/node/operatorserver.cpp
@@ -7,6 +7,7 @@
 #include <protocol/codec.h>
 
 #include <algorithm>
+#include <utils/jsonfield.h>
 
 namespace Node {
 
@@ -53,8 +54,8 @@
     m_node.handle(Protocol::Path::explain, [this](const auto &exchange) {
         const auto question = Protocol::decode(exchange->body());
         const bool isQuestion = question && question->is_object();
-        exchange->send(
-            Protocol::encode(isQuestion ? m_explain(question->value("requestId", "")) : json()));
+        exchange->send(Protocol::encode(
+            isQuestion ? m_explain(Utils::fieldOr(*question, "requestId", "")) : json()));
         exchange->finish();
     });
 }
--- a/src/libs/node/strikeboard.cpp
+++ b/src/libs/node/strikeboard.cpp
@@ -6,6 +6,7 @@
 #include <links/linkserver.h>
 #include <net/reactor.h>
 #include <protocol/codec.h>
+#include <utils/jsonfield.h>
 
 namespace Node {
 
@@ -29,7 +30,8 @@
         for (const auto &fingerprint : fingerprints) {
             const std::string key = strikeItemPrefix + fingerprint;
             const auto *known = state.item(key);
-            json crashes = known ? known->value.value("crashes", json::array()) : json::array();
+            json crashes =
+                known ? Utils::fieldOr(known->value, "crashes", json::array()) : json::array();
             crashes.push_back(crash);
             edit.puts[key] = {{"crashes", crashes}, {"at", wallClockMs()}};
         }
@@ -101,9 +103,11 @@
     if (!message || !message->is_object())
         return;
     if (message->contains("acquitted"))
-        m_suspects.noteFinished(message->value("acquitted", ""));
-    for (const auto &fingerprint : message->value("fingerprints", std::vector<std::string>()))
-        m_suspects.noteStrike(fingerprint, message->value("crash", ""), m_node.reactor().now());
+        m_suspects.noteFinished(Utils::fieldOr(*message, "acquitted", ""));
+    for (const auto &fingerprint :
+         Utils::fieldOr(*message, "fingerprints", std::vector<std::string>()))
+        m_suspects.noteStrike(fingerprint, Utils::fieldOr(*message, "crash", ""),
+                              m_node.reactor().now());
 }
 
 auto StrikeBoard::takeFromState() -> void
@@ -114,7 +118,7 @@
     for (const auto &[fingerprint, item] : state.itemsUnder(strikeItemPrefix)) {
         if (item->revision <= m_seenRevision)
             continue;
-        for (const auto &crash : item->value.value("crashes", std::vector<std::string>()))
+        for (const auto &crash : Utils::fieldOr(item->value, "crashes", std::vector<std::string>()))
             m_suspects.noteStrike(fingerprint, crash, m_node.reactor().now());
     }
     m_seenRevision = state.revision();
--- a/src/libs/operations/rulemerge.cpp
+++ b/src/libs/operations/rulemerge.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <sstream>
+#include <utils/jsonfield.h>
 
 namespace Operations {
 
@@ -18,7 +19,7 @@
 
 auto textOf(const nlohmann::json &value) -> std::string
 {
-    return value.value("text", "");
+    return Utils::fieldOr(value, "text", "");
 }
 
 auto textNow(const ControlState &state, const std::string &itemKey) -> LineText
@@ -106,7 +107,7 @@
                      const LineText &theirs) -> void
     {
         const auto *item = m_state.item(itemKey);
-        const std::string person = item ? item->value.value("person", "") : std::string();
+        const std::string person = item ? Utils::fieldOr(item->value, "person", "") : std::string();
         result.conflicts.push_back({key, mine.value_or(""), theirs.value_or(""), person});
     }
 
--- a/src/libs/standins/faultorders.cpp
+++ b/src/libs/standins/faultorders.cpp
@@ -1,6 +1,7 @@
 #include "faultorders.h"
 
 #include <net/reactor.h>
+#include <utils/jsonfield.h>
 
 namespace StandIns {
 
@@ -12,9 +13,9 @@
     if (!order.is_object() || !order.contains("part") || !order["part"].is_string())
         return false;
     FaultOrder &fault = m_orders[order["part"].get<std::string>()];
-    fault.isDown = order.value("down", false);
-    fault.losesAnswers = order.value("loseAnswers", false);
-    fault.delay = std::chrono::milliseconds(order.value("delayMs", 0));
+    fault.isDown = Utils::fieldOr(order, "down", false);
+    fault.losesAnswers = Utils::fieldOr(order, "loseAnswers", false);
+    fault.delay = std::chrono::milliseconds(Utils::fieldOr(order, "delayMs", 0));
     return true;
 }
 
--- /dev/null
+++ b/tests/auto/control/tst_acceptancetracker.cpp
@@ -0,0 +1,104 @@
+#include <control/acceptancetracker.h>
+
+#include <gtest/gtest.h>
+
+using namespace Control;
+
+namespace {
+
+auto registration(Revision revision, const std::string &name) -> Change
+{
+    const RegisteredInstance instance{name, "agent", "north", "127.0.0.1:1", "inc-" + name};
+    return {revision, "t", name, "register", 0, {{instanceItemKey(name), toJson(instance)}}, {}};
+}
+
+auto removal(Revision revision, const std::string &name) -> Change
+{
+    return {revision, "t", name, "gone", 0, {}, {instanceItemKey(name)}};
+}
+
+auto stateOf(const std::vector<std::string> &names) -> ControlState
+{
+    ControlState state;
+    for (const auto &name : names)
+        state.apply(registration(state.revision() + 1, name));
+    return state;
+}
+
+} // namespace
+
+TEST(AcceptanceTracker, NeedsAMajorityTwice)
+{
+    const auto state = stateOf({"a", "b", "c"});
+    AcceptanceTracker tracker(state, 3);
+    tracker.takeAnswer(1, "a", "inc-a", 3);
+    EXPECT_EQ(tracker.round(), 1);
+    tracker.takeAnswer(1, "b", "inc-b", 3);
+    EXPECT_EQ(tracker.round(), 2);
+    EXPECT_FALSE(tracker.isAccepted()) << "the first round alone says nothing of one moment";
+    tracker.takeAnswer(2, "a", "inc-a", 3);
+    EXPECT_FALSE(tracker.isAccepted());
+    tracker.takeAnswer(2, "b", "inc-b", 3);
+    EXPECT_TRUE(tracker.isAccepted());
+}
+
+TEST(AcceptanceTracker, LateAnswersOfTheFirstRoundDoNotConfirm)
+{
+    const auto state = stateOf({"a", "b", "c"});
+    AcceptanceTracker tracker(state, 3);
+    tracker.takeAnswer(1, "a", "inc-a", 3);
+    tracker.takeAnswer(1, "b", "inc-b", 3);
+    tracker.takeAnswer(1, "a", "inc-a", 3);
+    tracker.takeAnswer(1, "b", "inc-b", 3);
+    EXPECT_FALSE(tracker.isAccepted());
+}
+
+TEST(AcceptanceTracker, ARestartedHolderDoesNotCount)
+{
+    const auto state = stateOf({"a", "b", "c"});
+    AcceptanceTracker tracker(state, 3);
+    tracker.takeAnswer(1, "a", "inc-a", 3);
+    tracker.takeAnswer(1, "b", "inc-b", 3);
+    tracker.takeAnswer(2, "a", "another", 3);
+    tracker.takeAnswer(2, "b", "inc-b", 3);
+    EXPECT_FALSE(tracker.isAccepted());
+}
+
+TEST(AcceptanceTracker, HoldersOfOlderRevisionsDoNotCount)
+{
+    const auto state = stateOf({"a", "b", "c"});
+    AcceptanceTracker tracker(state, 3);
+    tracker.takeAnswer(1, "a", "inc-a", 2);
+    tracker.takeAnswer(1, "b", "inc-b", 2);
+    EXPECT_EQ(tracker.holderCount(), 0U);
+}
+
+TEST(AcceptanceTracker, AGrowingRegisterNeedsAMajorityOfTheOldOneToo)
+{
+    // a, b, c may still go by the register of three; d to h joined since.
+    const auto state = stateOf({"a", "b", "c", "d", "e", "f", "g", "h"});
+    AcceptanceTracker tracker(state, 8);
+    for (const int round : {1, 2}) {
+        for (const auto *name : {"d", "e", "f", "g", "h"})
+            tracker.takeAnswer(round, name, std::string("inc-") + name, 8);
+    }
+    EXPECT_FALSE(tracker.isAccepted()) << "a, b and c could form a majority of their own";
+    for (const int round : {1, 2}) {
+        for (const auto *name : {"a", "b"})
+            tracker.takeAnswer(round, name, std::string("inc-") + name, 8);
+    }
+    for (const auto *name : {"a", "b", "d", "e", "f", "g", "h"})
+        tracker.takeAnswer(2, name, std::string("inc-") + name, 8);
+    EXPECT_TRUE(tracker.isAccepted());
+}
+
+TEST(AcceptanceTracker, InstancesThatAreGoneFormNoMajority)
+{
+    auto state = stateOf({"a", "b", "c"});
+    state.apply(removal(4, "b"));
+    state.apply(removal(5, "c"));
+    AcceptanceTracker tracker(state, 5);
+    tracker.takeAnswer(1, "a", "inc-a", 5);
+    tracker.takeAnswer(2, "a", "inc-a", 5);
+    EXPECT_TRUE(tracker.isAccepted());
+}
