Registers from before an accepted one no longer hold up acceptance

Cause: the end-to-end pair "outage, then an agent killed and restarted" left a granted key "stored, held by 5 of 6" for ten seconds. The tracker demanded that no register of the whole kept history could form a majority without a holder, and the first register ever had one member, the agent that was down. Ruled out: lost answers (five held it) and the second round (it had begun).

Change: the duty's holder marks, as an item of the control state, the latest revision at which the register was accepted; registers from before it are dropped. The watch that asks round after round stood in three places and is one class now.

--- a/src/libs/agent/agentconstants.h
+++ b/src/libs/agent/agentconstants.h
@@ -16,6 +16,8 @@
 constexpr std::size_t MostTailBytes = 1U << 20;
 /// Time between two steps of the shared duties.
 constexpr std::chrono::milliseconds DutyPeriod(250);
+/// Time after which waiting for a register to be accepted is begun anew.
+constexpr std::chrono::seconds RegisterWatchLimit(5);
 /// Time between two readings of the platform's instance list.
 constexpr std::chrono::milliseconds InstanceListPeriod(1000);
 /// Wait for the pacing duty's holder before falling back to the own share.
--- a/src/libs/agent/dutyrunner.cpp
+++ b/src/libs/agent/dutyrunner.cpp
@@ -3,6 +3,7 @@
 #include "agentconstants.h"
 
 #include <contracts/epoch.h>
+#include <membership/acceptancewatch.h>
 #include <membership/dutylease.h>
 #include <net/periodictimer.h>
 #include <node/fleetnode.h>
@@ -163,11 +164,17 @@
     std::unique_ptr<Net::PeriodicTimer> listTimer;
     bool wasHeld = false;
     bool isProposing = false;
+    Membership::AcceptanceWatch watch;
+    bool isWatching = false;
 
     Private(Node::FleetNode &fleetNode, std::function<void(bool)> changed)
         : node(fleetNode)
         , onDutyChanged(std::move(changed))
         , lease(fleetNode.settings().name + "/" + fleetNode.incarnation())
+        , watch(fleetNode.reactor(), fleetNode.state(),
+                [&fleetNode](const auto &address) -> Links::LinkChannel & {
+                    return fleetNode.channelTo(address);
+                })
     { }
 
     auto step() -> void
@@ -190,8 +197,35 @@
                             {{"duty", "shared"}});
             onDutyChanged(isHeld);
         }
-        if (isHeld)
-            plan();
+        if (!isHeld)
+            return;
+        plan();
+        markAcceptedRegister();
+    }
+
+    /// Once the latest register is accepted, earlier ones no longer count for majorities.
+    auto markAcceptedRegister() -> void
+    {
+        const auto &versions = node.state().registerVersions();
+        if (isWatching || versions.size() < 2)
+            return;
+        isWatching = true;
+        const auto revision = node.state().revision();
+        watch.start(revision, Constants::RegisterWatchLimit, [this, revision](const auto &report) {
+            isWatching = false;
+            if (!report.isAccepted)
+                return;
+            const auto mark =
+                [revision](const ControlState &state) -> Utils::Result<ControlEdit, std::string> {
+                ControlEdit result;
+                const auto *known = state.item(Control::acceptedRegisterItemKey);
+                if (!known
+                    || Utils::fieldOr(known->value, "revision", Control::Revision(0)) < revision)
+                    result.puts[Control::acceptedRegisterItemKey] = {{"revision", revision}};
+                return result;
+            };
+            node.propose({node.settings().name, "register accepted", mark}, [](const auto &) {});
+        });
     }
 
     auto readRow() -> void
--- a/src/libs/control/acceptancetracker.cpp
+++ b/src/libs/control/acceptancetracker.cpp
@@ -6,7 +6,7 @@
 
 AcceptanceTracker::AcceptanceTracker(const ControlState &state, Revision revision)
     : m_revision(revision)
-    , m_registries(state.registryHistory())
+    , m_registers(state.registerVersions())
 {
     for (const auto &[name, instance] : state.registry())
         m_incarnations[name] = instance.incarnation;
@@ -49,7 +49,8 @@
 {
     // A removed instance is gone for good, so it answers nobody; the others without the revision
     // must be too few for a majority of any register.
-    return std::all_of(m_registries.begin(), m_registries.end(), [&](const auto &names) {
+    return std::all_of(m_registers.begin(), m_registers.end(), [&](const auto &version) {
+        const auto &names = version.names;
         const auto couldMiss = std::count_if(names.begin(), names.end(), [&](const auto &name) {
             return m_incarnations.count(name) > 0 && holders.count(name) == 0;
         });
--- a/src/libs/control/acceptancetracker.h
+++ b/src/libs/control/acceptancetracker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Control {
 
@@ -30,7 +31,7 @@
 
     Revision m_revision;
     std::map<std::string, std::string> m_incarnations;
-    std::set<std::set<std::string>> m_registries;
+    std::vector<RegisterVersion> m_registers;
     std::set<std::string> m_holders;
     std::set<std::string> m_confirmed;
 };
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 const std::string ruleItemPrefix = "rule/";
+const std::string acceptedRegisterItemKey = "accepted/register";
 
 namespace {
 
@@ -77,9 +78,9 @@
     return m_registry;
 }
 
-auto ControlState::registryHistory() const -> const std::set<std::set<std::string>> &
+auto ControlState::registerVersions() const -> const std::vector<RegisterVersion> &
 {
-    return m_registryHistory;
+    return m_registerVersions;
 }
 
 auto ControlState::rules() const -> const Rules::RuleSet &
@@ -101,6 +102,8 @@
         m_changes.pop_front();
     if (touches(change, instancePrefix))
         rebuildRegistry();
+    if (change.puts.count(acceptedRegisterItemKey) > 0)
+        dropOldRegisters();
     if (touches(change, ruleItemPrefix))
         rebuildRules();
     return true;
@@ -124,10 +127,13 @@
 
 auto ControlState::toSnapshot() const -> json
 {
+    json registers = json::array();
+    for (const auto &version : m_registerVersions)
+        registers.push_back({{"since", version.since}, {"names", version.names}});
     json items = json::object();
     for (const auto &[key, item] : m_items)
         items[key] = {{"value", item.value}, {"revision", item.revision}};
-    return {{"revision", m_revision}, {"items", items}, {"registries", m_registryHistory}};
+    return {{"revision", m_revision}, {"items", items}, {"registers", registers}};
 }
 
 auto ControlState::restore(const json &snapshot) -> bool
@@ -139,7 +145,11 @@
         std::map<std::string, Item> items;
         for (const auto &[key, entry] : snapshot.at("items").items())
             items[key] = {entry.at("value"), entry.at("revision").get<Revision>()};
-        m_registryHistory = snapshot.at("registries").get<std::set<std::set<std::string>>>();
+        std::vector<RegisterVersion> versions;
+        for (const auto &entry : snapshot.at("registers"))
+            versions.push_back({entry.at("since").get<Revision>(),
+                                entry.at("names").get<std::set<std::string>>()});
+        m_registerVersions = std::move(versions);
         m_items = std::move(items);
         m_revision = revision;
         m_changes.clear();
@@ -158,14 +168,18 @@
         if (const auto instance = instanceFromJson(item->value))
             m_registry[name] = *instance;
     }
-    m_registryHistory.insert(namesOf(m_registry));
-    // A set whose members are all gone can't form a majority any more.
-    for (auto at = m_registryHistory.begin(); at != m_registryHistory.end();) {
-        const bool anyLeft = std::any_of(at->begin(), at->end(), [this](const auto &name) {
-            return m_registry.count(name) > 0;
-        });
-        at = anyLeft || at->empty() ? std::next(at) : m_registryHistory.erase(at);
-    }
+    auto names = namesOf(m_registry);
+    if (m_registerVersions.empty() || m_registerVersions.back().names != names)
+        m_registerVersions.push_back({m_revision, std::move(names)});
+}
+
+auto ControlState::dropOldRegisters() -> void
+{
+    const auto *mark = item(acceptedRegisterItemKey);
+    const Revision accepted = mark ? Utils::fieldOr(mark->value, "revision", Revision(0)) : 0;
+    auto &versions = m_registerVersions;
+    while (versions.size() > 1 && versions[1].since <= accepted)
+        versions.erase(versions.begin());
 }
 
 auto ControlState::rebuildRules() -> void
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <control/change.h>
+#include <control/registerversion.h>
 #include <control/registry.h>
 #include <rules/ruleset.h>
 
 #include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -29,8 +29,9 @@
     /// Items whose key begins with `prefix`, without the prefix.
     auto itemsUnder(const std::string &prefix) const -> std::map<std::string, const Item *>;
     auto registry() const -> const Registry &;
-    /// Sets of names that were registered at the kept revisions, the present one included.
-    auto registryHistory() const -> const std::set<std::set<std::string>> &;
+    /// The registers that some node may still go by, the present one last: all since the latest one
+    /// that is marked as accepted.
+    auto registerVersions() const -> const std::vector<RegisterVersion> &;
     auto rules() const -> const Rules::RuleSet &;
 
     /// Applies the next change; false, and no effect, when it isn't the next one.
@@ -46,19 +47,23 @@
 
 private:
     auto rebuildRegistry() -> void;
+    auto dropOldRegisters() -> void;
     auto rebuildRules() -> void;
 
     Revision m_revision = 0;
     std::map<std::string, Item> m_items;
     std::deque<Change> m_changes;
     Registry m_registry;
-    std::set<std::set<std::string>> m_registryHistory;
+    std::vector<RegisterVersion> m_registerVersions;
     Rules::RuleSet m_rules;
 };
 
 /// Key prefix of the items that hold the lines of the rules file.
 extern const std::string ruleItemPrefix;
 
+/// Item {"revision": r}: revision r was accepted, so no node goes by a register from before it.
+extern const std::string acceptedRegisterItemKey;
+
 /// The item that holds one rule's line.
 auto ruleItem(const Rules::Rule &rule) -> nlohmann::json;
 
--- a/src/libs/entry/contractdesk.cpp
+++ b/src/libs/entry/contractdesk.cpp
@@ -2,17 +2,15 @@
 
 #include "entryconstants.h"
 
-#include <control/acceptancetracker.h>
 #include <control/controlconstants.h>
-#include <control/peeranswer.h>
 #include <links/linkchannel.h>
 #include <links/linkserver.h>
+#include <membership/acceptancewatch.h>
 #include <net/periodictimer.h>
 #include <node/fleetnode.h>
 #include <node/metrics.h>
 #include <protocol/codec.h>
 
-#include <optional>
 #include <utils/jsonfield.h>
 
 namespace Entry {
@@ -45,22 +43,20 @@
     Node::FleetNode &node;
     Contracts::ContractBook book;
     std::unique_ptr<Net::PeriodicTimer> resendTimer;
-    std::unique_ptr<Net::PeriodicTimer> epochTimer;
-    // While a new epoch's gains are locked: is it in force everywhere?
-    std::optional<Control::AcceptanceTracker> tracker;
-    std::uint64_t trackedEpoch = 0;
-    std::optional<TimePoint> acceptedAt;
+    Membership::AcceptanceWatch watch; ///< Of a new epoch, while its gains are locked.
 
     Private(Node::FleetNode &fleetNode, std::unique_ptr<Contracts::SharePolicy> policy)
         : node(fleetNode)
         , book(fleetNode.settings().name, fleetNode.incarnation(), std::move(policy))
+        , watch(fleetNode.reactor(), fleetNode.state(),
+                [&fleetNode](const auto &address) -> Links::LinkChannel & {
+                    return fleetNode.channelTo(address);
+                })
     { }
 
     auto now() const -> TimePoint { return node.reactor().now(); }
     auto takeState() -> void;
-    auto checkEpoch() -> void;
-    auto startTracking() -> void;
-    auto askHolders() -> void;
+    auto watchEpoch() -> void;
     auto gather(const PendingPointer &pending, double missing) -> void;
     auto tryAgain(const PendingPointer &pending) -> void;
     auto finish(const PendingPointer &pending, const ChargeResult &result) -> void;
@@ -88,50 +84,25 @@
     if (!epoch || epoch->number <= book.epoch().number)
         return;
     book.update(*epoch, now());
-    startTracking();
-}
-
-auto ContractDesk::Private::startTracking() -> void
-{
-    trackedEpoch = book.epoch().number;
-    acceptedAt.reset();
-    tracker.emplace(node.state(), node.state().item(epochItemKey)->revision);
+    watchEpoch();
 }
 
 /// Unlocks what a new epoch brought once no node can go by the earlier one: the revision is
 /// accepted and everybody who does not hold it has been stopped by the freshness limit.
-auto ContractDesk::Private::checkEpoch() -> void
+auto ContractDesk::Private::watchEpoch() -> void
 {
-    if (!book.hasLockedGains() || !tracker)
-        return;
-    if (!acceptedAt && tracker->isAccepted())
-        acceptedAt = now();
-    if (acceptedAt && now() - *acceptedAt > Control::Constants::FreshnessLimit) {
-        book.unlockGains(trackedEpoch, now());
-        return;
-    }
-    if (!acceptedAt)
-        askHolders();
-}
-
-auto ContractDesk::Private::askHolders() -> void
-{
-    const int round = tracker->round();
-    tracker->takeAnswer(round, node.settings().name, node.incarnation(), node.state().revision());
-    const auto epoch = trackedEpoch;
-    const std::string ask = Protocol::encode({{"after", node.state().revision()}});
-    for (const auto &[name, instance] : node.state().registry()) {
-        if (name == node.settings().name)
-            continue;
-        const auto take = [this, round, epoch](const std::string &message) {
-            const auto document = Protocol::decode(message);
-            const auto answer = document ? Control::peerAnswerFromJson(*document) : std::nullopt;
-            if (answer && tracker && epoch == trackedEpoch)
-                tracker->takeAnswer(round, answer->name, answer->incarnation, answer->revision);
-        };
-        node.channelTo(instance.address)
-            .call(Protocol::Path::controlPull, ask, take, [](Links::LinkOutcome) {});
-    }
+    const auto epoch = book.epoch().number;
+    const auto revision = node.state().item(epochItemKey)->revision;
+    watch.start(revision, Constants::EpochWatchLimit, [this, epoch](const auto &report) {
+        if (epoch != book.epoch().number)
+            return;
+        if (!report.isAccepted) {
+            watchEpoch();
+            return;
+        }
+        node.reactor().callAfter(Control::Constants::FreshnessLimit + Constants::EpochMargin,
+                                 [this, epoch] { book.unlockGains(epoch, now()); });
+    });
 }
 
 auto ContractDesk::Private::gather(const PendingPointer &pending, double missing) -> void
@@ -280,8 +251,6 @@
     node.onChanged([this] { d->takeState(); });
     d->resendTimer = std::make_unique<Net::PeriodicTimer>(node.reactor(), Constants::ResendPeriod,
                                                           [this] { d->resend(); });
-    d->epochTimer = std::make_unique<Net::PeriodicTimer>(
-        node.reactor(), Constants::EpochCheckPeriod, [this] { d->checkEpoch(); });
 }
 
 ContractDesk::~ContractDesk() = default;
--- a/src/libs/entry/entryconstants.h
+++ b/src/libs/entry/entryconstants.h
@@ -22,7 +22,9 @@
 constexpr std::chrono::seconds ObservationLifetime(10);
 /// Time between two sweeps over open requests.
 constexpr std::chrono::milliseconds SweepPeriod(200);
-/// Time between two looks at whether a new contract epoch is in force everywhere.
-constexpr std::chrono::milliseconds EpochCheckPeriod(300);
+/// Time after which waiting for a new contract epoch to be accepted is begun anew.
+constexpr std::chrono::seconds EpochWatchLimit(10);
+/// Margin on top of the freshness limit before an epoch's gains are used.
+constexpr std::chrono::milliseconds EpochMargin(100);
 
 } // namespace Entry::Constants
--- a/src/libs/operations/fleetclient.cpp
+++ b/src/libs/operations/fleetclient.cpp
@@ -1,7 +1,5 @@
 #include "fleetclient.h"
 
-#include <control/acceptancetracker.h>
-#include <control/peeranswer.h>
 #include <links/linkchannel.h>
 #include <net/httpclient.h>
 #include <net/reactor.h>
@@ -12,27 +10,16 @@
 
 namespace Operations {
 
-using Control::Revision;
 using nlohmann::json;
 
 namespace {
 
 constexpr std::chrono::milliseconds tableTimeout(2000);
-constexpr std::chrono::milliseconds roundPeriod(150);
 
 } // namespace
 
 struct FleetClient::Private
 {
-    /// One wait for a revision to be accepted.
-    struct Wait
-    {
-        Control::AcceptanceTracker tracker;
-        Utils::TimePoint until;
-        std::function<void(const AcceptanceReport &)> done;
-        bool isOver = false;
-    };
-
     Net::Reactor &reactor;
     FleetClientSettings settings;
     Net::HttpClient http;
@@ -42,6 +29,7 @@
     Control::ControlNode node;
     Platform::ControlWriter writer;
     std::map<std::string, std::unique_ptr<Links::LinkChannel>> channels;
+    Membership::AcceptanceWatch watch;
 
     Private(Net::Reactor &loop, const FleetClientSettings &clientSettings)
         : reactor(loop)
@@ -52,6 +40,8 @@
         , store(table, objects)
         , node({clientSettings.name, "operator", "operator"}, {}, loop.now())
         , writer(node, store)
+        , watch(loop, node.state(),
+                [this](const auto &address) -> Links::LinkChannel & { return channelTo(address); })
     { }
 
     auto channelTo(const std::string &address) -> Links::LinkChannel &
@@ -62,38 +52,6 @@
                                                            settings.fleetSecret);
         return *channel;
     }
-
-    auto askRound(const std::shared_ptr<Wait> &wait) -> void
-    {
-        if (finishIfOver(wait))
-            return;
-        const int round = wait->tracker.round();
-        const std::string ask = Protocol::encode({{"after", node.state().revision()}});
-        for (const auto &[name, instance] : node.state().registry()) {
-            const auto take = [this, wait, round](const std::string &message) {
-                const auto document = Protocol::decode(message);
-                const auto answer =
-                    document ? Control::peerAnswerFromJson(*document) : std::nullopt;
-                if (answer)
-                    wait->tracker.takeAnswer(round, answer->name, answer->incarnation,
-                                             answer->revision);
-                finishIfOver(wait);
-            };
-            channelTo(instance.address)
-                .call(Protocol::Path::controlPull, ask, take, [](Links::LinkOutcome) {});
-        }
-        reactor.callAfter(roundPeriod, [this, wait] { askRound(wait); });
-    }
-
-    auto finishIfOver(const std::shared_ptr<Wait> &wait) -> bool
-    {
-        if (!wait->isOver && (wait->tracker.isAccepted() || reactor.now() >= wait->until)) {
-            wait->isOver = true;
-            wait->done({wait->tracker.isAccepted(), wait->tracker.holderCount(),
-                        wait->tracker.registeredCount()});
-        }
-        return wait->isOver;
-    }
 };
 
 FleetClient::FleetClient(Net::Reactor &reactor, const FleetClientSettings &settings)
@@ -130,13 +88,10 @@
     d->writer.propose(std::move(proposal), std::move(done));
 }
 
-auto FleetClient::awaitAcceptance(Revision revision, Utils::Duration limit,
-                                  std::function<void(const AcceptanceReport &)> done) -> void
+auto FleetClient::awaitAcceptance(Control::Revision revision, Utils::Duration limit,
+                                  Membership::AcceptanceWatch::DoneCallback done) -> void
 {
-    const auto wait = std::make_shared<Private::Wait>(
-        Private::Wait{Control::AcceptanceTracker(d->node.state(), revision),
-                      d->reactor.now() + limit, std::move(done), false});
-    d->askRound(wait);
+    d->watch.start(revision, limit, std::move(done));
 }
 
 auto FleetClient::askAll(const std::string &role, const std::string &path, const json &question,
--- a/src/libs/operations/fleetclient.h
+++ b/src/libs/operations/fleetclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <control/controlnode.h>
+#include <membership/acceptancewatch.h>
 #include <platform/controlwriter.h>
 #include <utils/result.h>
 #include <utils/timepoint.h>
@@ -24,14 +25,6 @@
     std::string fleetSecret;
 };
 
-/// How far a stored revision has spread.
-struct AcceptanceReport
-{
-    bool isAccepted = false;
-    size_t holders = 0;
-    size_t registered = 0;
-};
-
 /// An operator's access to the fleet: reads and changes the control state through the store, and
 /// asks the processes over links.
 class FleetClient
@@ -46,7 +39,7 @@
     auto propose(Platform::Proposal proposal, Platform::ControlWriter::DoneCallback done) -> void;
     /// Waits until the revision is accepted, at most `limit`.
     auto awaitAcceptance(Control::Revision revision, Utils::Duration limit,
-                         std::function<void(const AcceptanceReport &)> done) -> void;
+                         Membership::AcceptanceWatch::DoneCallback done) -> void;
     /// Asks every registered process of the role ("" for all); gives the answers by name.
     auto askAll(const std::string &role, const std::string &path, const nlohmann::json &question,
                 Utils::Duration limit,
--- a/src/tools/acaciactl/session.cpp
+++ b/src/tools/acaciactl/session.cpp
@@ -97,7 +97,7 @@
     });
     if (!outcome)
         return reportFailure(outcome.error());
-    Operations::AcceptanceReport report;
+    Membership::AcceptanceReport report;
     runUntil(*m_reactor, [&](const auto &stop) {
         m_client->awaitAcceptance(*outcome, acceptanceLimit, [&report, stop](const auto &result) {
             report = result;
@@ -118,7 +118,7 @@
 }
 
 auto Session::reportAcceptance(Control::Revision revision,
-                               const Operations::AcceptanceReport &report) const -> int
+                               const Membership::AcceptanceReport &report) const -> int
 {
     const std::string state = report.isAccepted ? "accepted" : "stored";
     if (isJson()) {
--- a/src/tools/acaciactl/session.h
+++ b/src/tools/acaciactl/session.h
@@ -41,7 +41,7 @@
     explicit Session(const App::CommandLine &line);
     auto reportFailure(const Platform::ProposalError &error) const -> int;
     auto reportAcceptance(Control::Revision revision,
-                          const Operations::AcceptanceReport &report) const -> int;
+                          const Membership::AcceptanceReport &report) const -> int;
 
     App::CommandLine m_line;
     std::unique_ptr<Net::Reactor> m_reactor;
--- a/tests/auto/control/tst_acceptancetracker.cpp
+++ b/tests/auto/control/tst_acceptancetracker.cpp
@@ -92,6 +92,22 @@
     EXPECT_TRUE(tracker.isAccepted());
 }
 
+TEST(AcceptanceTracker, RegistersFromBeforeAnAcceptedOneNoLongerCount)
+{
+    auto state = stateOf({"a", "b", "c", "d", "e"});
+    const auto acceptedWithoutA = [&state](Revision revision) {
+        AcceptanceTracker tracker(state, revision);
+        for (const int round : {1, 2}) {
+            for (const auto *name : {"b", "c", "d", "e"})
+                tracker.takeAnswer(round, name, std::string("inc-") + name, revision);
+        }
+        return tracker.isAccepted();
+    };
+    EXPECT_FALSE(acceptedWithoutA(5)) << "a was once the only one registered";
+    state.apply({6, "t", "d", "mark", 0, {{acceptedRegisterItemKey, {{"revision", 5}}}}, {}});
+    EXPECT_TRUE(acceptedWithoutA(6));
+}
+
 TEST(AcceptanceTracker, InstancesThatAreGoneFormNoMajority)
 {
     auto state = stateOf({"a", "b", "c"});
