Ask the relay before the majority would be asked in tst_controlnode

Cause: the test asked at 2 s, when the node reads a majority too, so its age was 0. Ruled out: the node's arithmetic. Change: it asks at 1 s. Before: failed; after: passes, and fails with a relay's age left out.

--- a/tests/auto/control/tst_controlnode.cpp
+++ b/tests/auto/control/tst_controlnode.cpp
@@ -354,7 +354,7 @@
     first.head = 1;
     first.changes.push_back({1, "t", "a", "r", 0, {{instanceItemKey("a"), toJson(relay)}}, {}});
     node.takeStoreAnswer(std::get<ReadStore>(node.tick(start + step).front()).question, first);
-    const TimePoint askedAt = start + std::chrono::seconds(2);
+    const TimePoint askedAt = start + Milliseconds(1000);
     for (const auto &action : node.tick(askedAt)) {
         const auto *ask = std::get_if<AskPeer>(&action);
         ASSERT_NE(ask, nullptr);
