The event loop no longer polls without rest before each timer

Cause: an idle entry made 351 epoll_wait calls a second (strace) and used 1.9 to 2.1% of a core. ACE's epoll reactor cuts the wait for its next timer down to whole milliseconds, so the last part of one is spent in polls of zero length. Ruled out: the pulls (8 sends in 8 s) and logging (20 writes).

Change: the reactor keeps its timers itself and rounds waits up.

--- a/src/libs/net/reactor.cpp
+++ b/src/libs/net/reactor.cpp
@@ -42,34 +42,10 @@
     Reactor::ReadyCallback m_callback;
 };
 
-/// Receives ACE's time-outs and hands them on by timer number.
-class TimerHandler : public ACE_Event_Handler
-{
-public:
-    explicit TimerHandler(std::function<void(long)> fired)
-        : m_fired(std::move(fired))
-    { }
-
-    auto handle_timeout(const ACE_Time_Value &, const void *argument) -> int override
-    {
-        m_fired(reinterpret_cast<long>(argument));
-        return 0;
-    }
-
-private:
-    std::function<void(long)> m_fired;
-};
-
 } // namespace Internal
 
 struct Reactor::Private
 {
-    struct Timer
-    {
-        long aceId;
-        std::function<void()> callback;
-    };
-
     struct Watch
     {
         std::unique_ptr<Internal::WatchHandler> handler;
@@ -79,19 +55,33 @@
     std::unique_ptr<ACE_Reactor> ace;
     std::unordered_map<int, Watch> watches;
     std::vector<std::unique_ptr<Internal::WatchHandler>> retired;
-    std::map<TimerId, Timer> timers;
-    std::unique_ptr<Internal::TimerHandler> timerHandler;
+    // ACE's epoll reactor cuts a timer's wait down to whole milliseconds and polls without rest for
+    // what is left, so the timers are kept here and waits are rounded up.
+    std::map<std::pair<Utils::TimePoint, TimerId>, std::function<void()>> timers;
+    std::unordered_map<TimerId, Utils::TimePoint> dueTimes;
     TimerId nextTimer = 1;
     bool stopped = false;
 
-    auto fire(TimerId id) -> void
+    /// Calls what is due; what is scheduled meanwhile waits for the next round.
+    auto fireDue(Utils::TimePoint now) -> void
+    {
+        const TimerId firstOfNextRound = nextTimer;
+        while (!timers.empty() && !stopped) {
+            const auto next = timers.begin();
+            const auto [due, id] = next->first;
+            if (due > now || id >= firstOfNextRound)
+                return;
+            const auto callback = std::move(next->second);
+            timers.erase(next);
+            dueTimes.erase(id);
+            callback();
+        }
+    }
+
+    auto untilNext(Utils::TimePoint now) const -> Utils::Duration
     {
-        const auto found = timers.find(id);
-        if (found == timers.end())
-            return;
-        const auto callback = std::move(found->second.callback);
-        timers.erase(found);
-        callback();
+        constexpr std::chrono::seconds longestWait(60);
+        return timers.empty() ? longestWait : std::min<Utils::Duration>(timers.begin()->first.first - now, longestWait);
     }
 };
 
@@ -109,9 +99,10 @@
 
 auto toAce(Utils::Duration duration) -> ACE_Time_Value
 {
-    const auto positive = std::max(duration, Utils::Duration::zero());
-    const auto micro = std::chrono::duration_cast<std::chrono::microseconds>(positive).count();
-    return ACE_Time_Value(micro / 1000000, static_cast<suseconds_t>(micro % 1000000));
+    constexpr long long perSecond = 1000;
+    const auto milliseconds
+        = std::chrono::ceil<std::chrono::milliseconds>(std::max(duration, Utils::Duration::zero())).count();
+    return ACE_Time_Value(milliseconds / perSecond, static_cast<suseconds_t>(milliseconds % perSecond * perSecond));
 }
 
 } // namespace
@@ -119,7 +110,6 @@
 Reactor::Reactor(std::unique_ptr<Private> data)
     : d(std::move(data))
 {
-    d->timerHandler = std::make_unique<Internal::TimerHandler>([this](long id) { d->fire(id); });
 }
 
 Reactor::~Reactor()
@@ -127,8 +117,6 @@
     for (auto &[fd, entry] : d->watches)
         d->ace->remove_handler(fd,
                                ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-    for (auto &[id, timer] : d->timers)
-        d->ace->cancel_timer(timer.aceId);
 }
 
 auto Reactor::create() -> Utils::Result<std::unique_ptr<Reactor>, std::string>
@@ -173,19 +161,19 @@
 auto Reactor::callAfter(Utils::Duration delay, std::function<void()> callback) -> TimerId
 {
     const TimerId id = d->nextTimer++;
-    const long aceId =
-        d->ace->schedule_timer(d->timerHandler.get(), reinterpret_cast<void *>(id), toAce(delay));
-    d->timers.emplace(id, Private::Timer{aceId, std::move(callback)});
+    const Utils::TimePoint due = now() + std::max(delay, Utils::Duration::zero());
+    d->timers.emplace(std::pair(due, id), std::move(callback));
+    d->dueTimes.emplace(id, due);
     return id;
 }
 
 auto Reactor::cancel(TimerId timer) -> void
 {
-    const auto found = d->timers.find(timer);
-    if (found == d->timers.end())
+    const auto found = d->dueTimes.find(timer);
+    if (found == d->dueTimes.end())
         return;
-    d->ace->cancel_timer(found->second.aceId);
-    d->timers.erase(found);
+    d->timers.erase({found->second, timer});
+    d->dueTimes.erase(found);
 }
 
 auto Reactor::now() const -> Utils::TimePoint
@@ -196,8 +184,10 @@
 auto Reactor::run() -> void
 {
     while (!d->stopped) {
-        d->ace->handle_events();
+        ACE_Time_Value wait = toAce(d->untilNext(now()));
+        d->ace->handle_events(wait);
         d->retired.clear();
+        d->fireDue(now());
     }
 }
 
