--- a/src/libs/admission/refusal.cpp
+++ b/src/libs/admission/refusal.cpp
@@ -54,6 +54,11 @@
     return catalogue;
 }
 
+auto makeRefusal(RefusalReason reason, Ran ran, std::chrono::milliseconds retryAfter) -> Refusal
+{
+    return {reason, ran, retryAfter, {}, {}, {}, {}};
+}
+
 auto describe(RefusalReason reason) -> const RefusalDescription &
 {
     const auto &all = refusalCatalogue();
--- a/src/libs/admission/refusal.h
+++ b/src/libs/admission/refusal.h
@@ -54,6 +54,9 @@
     std::string crash; ///< Identifies the crash that ended the request, if one did.
 };
 
+/// A refusal that no rule's line led to.
+auto makeRefusal(RefusalReason reason, Ran ran, std::chrono::milliseconds retryAfter) -> Refusal;
+
 /// Code, HTTP status and meaning of a reason, as the pages list them.
 struct RefusalDescription
 {
--- /dev/null
+++ b/src/libs/agent/agentdispatch.cpp
@@ -0,0 +1,270 @@
+// The way of an agent's run from its queue to its end.
+
+#include "agentserver_p.h"
+
+namespace Agent {
+
+auto AgentServer::Private::suspicionOf(const Run &run) const -> Routing::Suspicion
+{
+    return strikes->suspects().suspicionOf(run.request().fingerprint, now());
+}
+
+auto AgentServer::Private::isReady(const Admission::QueuedRequest &queued) const -> bool
+{
+    const Run &run = *runs.at(queued.id);
+    const bool isSuspect = suspicionOf(run) != Routing::Suspicion::None;
+    if (isSuspect && queue.running() > 0)
+        return false;
+    return run.isService() || keeper->isReady(needOf(run));
+}
+
+auto AgentServer::Private::pump() -> void
+{
+    const auto open = runs.open();
+    const bool suspectRuns = std::any_of(open.begin(), open.end(), [this](const auto &run) {
+        return run->stage != Run::Stage::Waiting && suspicionOf(*run) != Routing::Suspicion::None;
+    });
+    if (suspectRuns)
+        return;
+    while (const auto chosen = queue.next([this](const auto &queued) { return isReady(queued); })) {
+        const RunPointer run = runs.at(chosen->id);
+        const bool isSuspect = suspicionOf(*run) != Routing::Suspicion::None;
+        start(run);
+        if (isSuspect)
+            return;
+    }
+}
+
+auto AgentServer::Private::start(const RunPointer &run) -> void
+{
+    run->startedAt = now();
+    run->stage = Run::Stage::Claiming;
+    if (!run->isService())
+        keeper->beginUse(needOf(*run));
+    if (const auto refusal = whyNot(run->request())) {
+        finish(run, *refusal);
+        return;
+    }
+    if (run->request().submissionIdentity.empty())
+        dispatch(run);
+    else
+        claim(run);
+}
+
+auto AgentServer::Private::claim(const RunPointer &run) -> void
+{
+    const auto &request = run->request();
+    const auto timeLeft =
+        std::chrono::duration_cast<std::chrono::milliseconds>(run->queued().deadline - now());
+    submissions->begin(identityOf(*run), Utils::sha256Hex(request.body), timeLeft,
+                       [this, run](const auto &result) { takeClaim(run, result); });
+}
+
+auto AgentServer::Private::takeClaim(const RunPointer &run, const Submissions::BeginResult &result)
+    -> void
+{
+    if (const auto *mine = std::get_if<Submissions::RunNow>(&result)) {
+        const bool tooLate =
+            run->stage == Run::Stage::Ended || now() >= run->queued().deadline || !node->mayAct();
+        if (!tooLate) {
+            run->claim = *mine;
+            dispatch(run);
+            return;
+        }
+        submissions->abandon(identityOf(*run), *mine);
+        if (run->stage != Run::Stage::Ended)
+            finish(run, makeRefusal(RefusalReason::DeadlinePassed, Ran::No, shortWait));
+        return;
+    }
+    if (run->stage == Run::Stage::Ended)
+        return;
+    if (const auto *answered = std::get_if<Submissions::AlreadyAnswered>(&result)) {
+        run->begin({answered->answer.status, answered->answer.contentType}, 0);
+        run->append(answered->answer.body);
+        finish(run, std::nullopt);
+        return;
+    }
+    switch (std::get<Submissions::NotNow>(result)) {
+    case Submissions::NotNow::InProgress:
+        finish(run, makeRefusal(RefusalReason::SubmissionInProgress, Ran::Unknown, shortWait));
+        break;
+    case Submissions::NotNow::Unknown:
+        Utils::logEvent(Utils::Event::SubmissionUnknown, {{"requestId", run->request().requestId}});
+        finish(run, makeRefusal(RefusalReason::SubmissionUnknown, Ran::Unknown, {}));
+        break;
+    case Submissions::NotNow::IdentityReused:
+        finish(run, makeRefusal(RefusalReason::IdentityReused, Ran::No, {}));
+        break;
+    case Submissions::NotNow::StoreUnavailable:
+        finish(run, makeRefusal(RefusalReason::StoreUnavailable, Ran::No, shortWait));
+        break;
+    }
+}
+
+auto AgentServer::Private::dispatch(const RunPointer &run) -> void
+{
+    run->stage = Run::Stage::Running;
+    run->bootId = keeper->bootId();
+    // The sweep ends it at its deadline; this only keeps the call from lasting for ever.
+    const auto timeout =
+        std::chrono::duration_cast<std::chrono::milliseconds>(run->queued().deadline - now())
+        + std::chrono::seconds(5);
+    const auto head = std::make_shared<ServerAnswerHead>();
+    const bool isOnce = run->claim.has_value();
+    DispatchCallbacks callbacks;
+    callbacks.onHead = [this, run, head, isOnce](const ServerAnswerHead &received) {
+        *head = received;
+        if (!isOnce)
+            run->begin(received, static_cast<int>(queue.waiting()));
+    };
+    // A submission's answer goes out only after it was recorded.
+    const auto body = std::make_shared<std::string>();
+    callbacks.onData = [run, body, isOnce](const std::string &bytes) {
+        if (isOnce)
+            *body += bytes;
+        else
+            run->append(bytes);
+    };
+    callbacks.onDone = [this, run, head, body, isOnce](DispatchEnd end) {
+        if (isOnce && end == DispatchEnd::Answered) {
+            run->begin(*head, static_cast<int>(queue.waiting()));
+            run->append(*body);
+        }
+        takeDispatchEnd(run, end, *head);
+    };
+    run->dispatch = server->dispatch(run->request(), timeout, std::move(callbacks));
+}
+
+auto AgentServer::Private::takeDispatchEnd(const RunPointer &run, DispatchEnd end,
+                                           const ServerAnswerHead &head) -> void
+{
+    run->dispatch = 0;
+    if (run->stage == Run::Stage::Ended)
+        return;
+    if (end == DispatchEnd::Answered) {
+        strikes->acquit(run->request().fingerprint);
+        if (run->claim)
+            recordAnswer(run, head);
+        else
+            finish(run, std::nullopt);
+    } else if (end == DispatchEnd::NotSent) {
+        if (run->claim)
+            submissions->abandon(identityOf(*run), *run->claim);
+        finish(run, makeRefusal(RefusalReason::NoBackendServer, Ran::No, shortWait));
+    } else {
+        fail(run);
+    }
+}
+
+auto AgentServer::Private::recordAnswer(const RunPointer &run, const ServerAnswerHead &head) -> void
+{
+    const auto body = run->wholeBody();
+    std::optional<Submissions::RecordedAnswer> answer;
+    if (body)
+        answer = {head.status, head.contentType, *body};
+    submissions->finish(identityOf(*run), *run->claim, Utils::sha256Hex(run->request().body),
+                        answer, [this, run](bool recorded) {
+                            Utils::logEvent(
+                                Utils::Event::SubmissionRecorded,
+                                {{"requestId", run->request().requestId}, {"recorded", recorded}});
+                            if (run->stage != Run::Stage::Ended)
+                                finish(run, std::nullopt);
+                        });
+}
+
+/// The server or the connection failed with the request in its hands: first find out whether it
+/// crashed.
+auto AgentServer::Private::fail(const RunPointer &run) -> void
+{
+    if (run->claim)
+        submissions->finish(identityOf(*run), *run->claim, Utils::sha256Hex(run->request().body),
+                            std::nullopt, [](bool) {});
+    failedRuns.push_back(run);
+    probeServer();
+}
+
+auto AgentServer::Private::probeServer() -> void
+{
+    if (std::exchange(isProbing, true))
+        return;
+    server->status([this](const auto &status) {
+        isProbing = false;
+        judgeFailure(status);
+    });
+}
+
+auto AgentServer::Private::judgeFailure(const Utils::Result<ServerStatus, std::string> &status)
+    -> void
+{
+    const auto failed = std::exchange(failedRuns, {});
+    std::string crash;
+    const bool hasCrashed =
+        !failed.empty() && (!status || status->bootId != failed.front()->bootId);
+    if (hasCrashed) {
+        crash = settings.serverName + "/" + failed.front()->bootId;
+        std::set<std::string> fingerprints;
+        for (const auto &run : failed)
+            fingerprints.insert(run->request().fingerprint);
+        Utils::logEvent(Utils::Event::CrashSuspected,
+                        {{"crash", crash}, {"fingerprints", fingerprints}});
+        node->metrics().count("acacia_engine_crashes_total");
+        strikes->report({fingerprints.begin(), fingerprints.end()}, crash);
+        keeper->noteRestart();
+    }
+    for (const auto &run : failed) {
+        Refusal refusal = makeRefusal(RefusalReason::BackendFailed, Ran::Unknown, shortWait);
+        refusal.crash = crash;
+        if (run->stage != Run::Stage::Ended)
+            finish(run, refusal);
+    }
+}
+
+/// Ends a run that was taken from the queue.
+auto AgentServer::Private::finish(const RunPointer &run, const std::optional<Refusal> &refusal)
+    -> void
+{
+    runs.markEnded(run, now());
+    const auto tail = run->wholeBody().value_or(std::string());
+    const double generated =
+        refusal ? 0 : Admission::reportedTokens(tail).value_or(run->queued().cost);
+    queue.finish(run->queued(), generated, now() - run->startedAt);
+    if (!run->isService())
+        keeper->endUse(needOf(*run));
+    if (refusal) {
+        node->metrics().count("acacia_refusals_total",
+                              {{"reason", std::string(Admission::describe(refusal->reason).code)}});
+        run->refuse(*refusal);
+    } else {
+        node->metrics().count("acacia_answers_total");
+        run->end();
+    }
+    pump();
+    checkDrained();
+}
+
+/// Ends a run at whatever stage it is.
+auto AgentServer::Private::stop(const RunPointer &run, const Refusal &refusal) -> void
+{
+    if (run->stage == Run::Stage::Ended)
+        return;
+    if (run->stage == Run::Stage::Waiting) {
+        queue.remove(run->queued().id);
+        Refusal notRun = refusal;
+        notRun.ran = Ran::No;
+        runs.markEnded(run, now());
+        run->refuse(notRun);
+        checkDrained();
+        return;
+    }
+    if (run->dispatch != 0)
+        server->cancel(run->dispatch, run->request().requestId);
+    // Its outcome is open: nobody may run it again.
+    if (run->claim)
+        submissions->finish(identityOf(*run), *run->claim, Utils::sha256Hex(run->request().body),
+                            std::nullopt, [](bool) {});
+    Refusal final = refusal;
+    final.ran = run->stage == Run::Stage::Claiming ? Ran::No : Ran::Unknown;
+    finish(run, final);
+}
+
+} // namespace Agent
--- a/src/libs/agent/dutyrunner.cpp
+++ b/src/libs/agent/dutyrunner.cpp
@@ -12,6 +12,7 @@
 #include <routing/routingconstants.h>
 #include <utils/eventlog.h>
 #include <utils/jsonfield.h>
+#include <utils/wallclock.h>
 
 namespace Agent {
 
@@ -146,12 +147,6 @@
     }
 }
 
-auto wallClockMs() -> std::int64_t
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-}
-
 } // namespace
 
 struct DutyRunner::Private
@@ -276,7 +271,7 @@
         addRemovals(state, statuses, result);
         addPermits(state, statuses, result);
         addEpoch(state, result);
-        addForgottenStrikes(state, wallClockMs(), result);
+        addForgottenStrikes(state, Utils::wallClock().count(), result);
         const json self = {{"holder", node.settings().name}};
         const auto *duty = state.item(pacingDutyItemKey);
         if (!duty || duty->value != self)
--- /dev/null
+++ b/src/libs/entry/entryserver_p.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "entryserver.h"
+
+#include "backenddirectory.h"
+#include "callerrequest.h"
+#include "contractdesk.h"
+#include "decisionlog.h"
+#include "entryconstants.h"
+
+#include <admission/admissionconstants.h>
+#include <net/periodictimer.h>
+#include <node/fleetnode.h>
+#include <node/metrics.h>
+#include <node/operatorserver.h>
+#include <node/strikeboard.h>
+#include <protocol/codec.h>
+#include <routing/outcome.h>
+#include <routing/retrybudget.h>
+#include <routing/routingconstants.h>
+#include <utils/eventlog.h>
+#include <utils/hashing.h>
+
+#include <map>
+
+namespace Entry {
+
+using Admission::makeRefusal;
+using Admission::Ran;
+using Admission::Refusal;
+using Admission::RefusalReason;
+using nlohmann::json;
+using Routing::AttemptEnd;
+using Routing::NextStep;
+using RequestPointer = std::shared_ptr<CallerRequest>;
+
+inline constexpr std::chrono::milliseconds goodbyeLimit(1500);
+inline constexpr std::chrono::seconds shortWait(1);
+inline constexpr int requestIdBytes = 12;
+
+/// Refusals that another backend server might not give.
+inline auto isWorthAnother(RefusalReason reason) -> bool
+{
+    switch (reason) {
+    case RefusalReason::NoBackendServer:
+    case RefusalReason::QueueFull:
+    case RefusalReason::WouldMissDeadline:
+    case RefusalReason::NotFresh:
+    case RefusalReason::Draining:
+    case RefusalReason::LoadFailed:
+    case RefusalReason::BackendFailed:
+        return true;
+    default:
+        return false;
+    }
+}
+
+inline auto attemptEndOf(const Refusal &refusal) -> AttemptEnd
+{
+    return refusal.ran == Ran::No ? AttemptEnd::RefusedNotRun : AttemptEnd::FailedAfterDispatch;
+}
+
+struct EntryServer::Private
+{
+    EntrySettings settings;
+    std::unique_ptr<Node::FleetNode> node;
+    std::unique_ptr<ContractDesk> contracts;
+    std::unique_ptr<Node::StrikeBoard> strikes;
+    std::unique_ptr<BackendDirectory> directory;
+    std::unique_ptr<Net::HttpServer> callers;
+    std::unique_ptr<Node::OperatorServer> operators;
+    std::unique_ptr<Net::PeriodicTimer> listTimer;
+    std::unique_ptr<Net::PeriodicTimer> sweepTimer;
+    Routing::RetryBudget retries;
+    DecisionLog decisions{Constants::KeptDecisions};
+    std::map<std::string, RequestPointer> open;
+    bool isDraining = false;
+    std::function<void()> drained;
+
+    explicit Private(const EntrySettings &entrySettings)
+        : settings(entrySettings)
+        , retries(entrySettings.retryRatio, Routing::Constants::MostSavedRetries)
+    { }
+
+    auto now() const -> Utils::TimePoint { return node->reactor().now(); }
+    auto handle(const std::shared_ptr<Net::HttpExchange> &exchange) -> void;
+    auto refuseEarly(Net::HttpExchange &exchange, const std::string &id, const Refusal &refusal)
+        -> void;
+    auto answerStatus(Net::HttpExchange &exchange, const std::string &id) -> void;
+    auto accept(const RequestPointer &request) -> void;
+    auto charge(const RequestPointer &request) -> void;
+    auto takeCharge(const RequestPointer &request, const Contracts::ChargeResult &result) -> void;
+    auto tryNext(const RequestPointer &request) -> void;
+    auto choices(const CallerRequest &request) const -> std::vector<BackendChoice>;
+    auto send(const RequestPointer &request, const BackendChoice &choice) -> void;
+    auto resume(const RequestPointer &request) -> void;
+    auto callAgent(const RequestPointer &request, const std::string &path, const json &body)
+        -> void;
+    auto takeMessage(const RequestPointer &request, int attempt, const std::string &message)
+        -> void;
+    auto takeEvent(const RequestPointer &request, const Protocol::AnswerBegun &event) -> void;
+    auto takeEvent(const RequestPointer &request, const Protocol::AnswerData &event) -> void;
+    auto takeEvent(const RequestPointer &request, const Protocol::AnswerEnded &event) -> void;
+    auto takeEvent(const RequestPointer &request, const Refusal &event) -> void;
+    auto takeOutcome(const RequestPointer &request, int attempt, Links::LinkOutcome outcome)
+        -> void;
+    auto followUp(const RequestPointer &request, AttemptEnd end) -> void;
+    auto tryAnother(const RequestPointer &request, const std::string &reason) -> void;
+    auto giveUp(const RequestPointer &request, Refusal refusal) -> void;
+    auto cancelAtAgent(const RequestPointer &request) -> void;
+    auto finish(const RequestPointer &request) -> void;
+    auto settle(const RequestPointer &request, bool wasRun) -> void;
+    auto recheckAll() -> void;
+    auto sweep() -> void;
+    auto readInstanceList() -> void;
+    auto noteDecision(const CallerRequest &request, const json &outcome) -> void;
+    auto checkDrained() -> void;
+    auto status() const -> json;
+};
+
+} // namespace Entry
--- a/src/libs/node/strikeboard.cpp
+++ b/src/libs/node/strikeboard.cpp
@@ -7,6 +7,7 @@
 #include <net/reactor.h>
 #include <protocol/codec.h>
 #include <utils/jsonfield.h>
+#include <utils/wallclock.h>
 
 namespace Node {
 
@@ -16,12 +17,6 @@
 
 namespace {
 
-auto wallClockMs() -> std::int64_t
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-}
-
 auto strikeEdit(const std::vector<std::string> &fingerprints, const std::string &crash)
 {
     return [fingerprints, crash](const Control::ControlState &state)
@@ -33,7 +28,7 @@
             json crashes =
                 known ? Utils::fieldOr(known->value, "crashes", json::array()) : json::array();
             crashes.push_back(crash);
-            edit.puts[key] = {{"crashes", crashes}, {"at", wallClockMs()}};
+            edit.puts[key] = {{"crashes", crashes}, {"at", Utils::wallClock().count()}};
         }
         return edit;
     };
--- a/src/libs/platform/controlwriter.cpp
+++ b/src/libs/platform/controlwriter.cpp
@@ -2,6 +2,7 @@
 
 #include <control/controlconstants.h>
 #include <utils/hashing.h>
+#include <utils/wallclock.h>
 
 #include <chrono>
 #include <deque>
@@ -16,12 +17,6 @@
 constexpr int mostAttempts = 12;
 constexpr int tokenBytes = 12;
 
-auto wallClockMs() -> std::int64_t
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-}
-
 } // namespace
 
 struct ControlWriter::Private : std::enable_shared_from_this<ControlWriter::Private>
@@ -113,13 +108,9 @@
             fail(ProposalError::Kind::TooManyConflicts, "other changes came first each time");
             return;
         }
-        Change change{node.state().revision() + 1,
-                      work.token,
-                      work.proposal.author,
-                      work.proposal.reason,
-                      wallClockMs(),
-                      edit->puts,
-                      edit->deletes};
+        Change change{
+            node.state().revision() + 1, work.token, work.proposal.author, work.proposal.reason,
+            Utils::wallClock().count(),  edit->puts, edit->deletes};
         store.commit(change, edit->conditions,
                      [self = shared_from_this(), change](const auto &result) {
                          self->takeResult(change, result);
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -1,9 +1,10 @@
 #include "eventlog.h"
 
+#include "wallclock.h"
+
 #include <easylogging++.h>
 
 #include <algorithm>
-#include <ctime>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -25,12 +26,6 @@
     return found == all.end() ? std::string_view("unlisted") : found->name;
 }
 
-auto wallClockMilliseconds() -> long long
-{
-    using namespace std::chrono;
-    return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
-}
-
 } // namespace
 
 auto eventCatalogue() -> const std::vector<EventDescription> &
@@ -100,7 +95,7 @@
 
 auto logEvent(Event event, const nlohmann::json &fields) -> void
 {
-    nlohmann::json line = {{"time", wallClockMilliseconds()},
+    nlohmann::json line = {{"time", wallClock().count()},
                            {"process", processNameStorage()},
                            {"event", static_cast<int>(event)},
                            {"name", describe(event)}};
--- /dev/null
+++ b/src/libs/utils/wallclock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <chrono>
+
+namespace Utils {
+
+/// Time since 1970 by the machine's clock: for records and logs, never for deadlines within a
+/// process.
+inline auto wallClock() -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace Utils
