--- a/src/libs/load/report.cpp
+++ b/src/libs/load/report.cpp
@@ -1,6 +1,7 @@
 #include "report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <sstream>
 
@@ -20,8 +21,7 @@
 {
     if (values.empty())
         return nullptr;
-    const auto at =
-        static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1) + 0.5);
+    const auto at = std::lround(part * static_cast<double>(values.size() - 1));
     std::nth_element(values.begin(), values.begin() + at, values.end());
     return values[static_cast<size_t>(at)];
 }
@@ -80,7 +80,9 @@
 
 auto promptTokens(const Arrival &arrival) -> double
 {
-    return static_cast<double>((arrival.model.size() + 24) / 4);
+    constexpr size_t otherBytes = 24;
+    const size_t tokens = (arrival.model.size() + otherBytes) / 4;
+    return static_cast<double>(tokens);
 }
 
 auto customerJson(const CustomerTally &tally) -> json
