--- a/tests/e2e/failures.sh
+++ b/tests/e2e/failures.sh
@@ -36,6 +36,7 @@
 customer sporbar rate 20000/s burst 80000 key $sporbar_hash   # asked by Ingrid Moe, Sporbar
 model narrative-3 engines drafting replicas 2 memory 18GiB   # asked by Lin Mei, bureau office
 model crash-prone engines drafting replicas 2 memory 2GiB   # asked by Ingrid Moe, Sporbar
+model homeless engines nowhere replicas 1 memory 1GiB   # asked by Ola Berg, operations
 route POST /returns service filing once identity header:Idempotency-Key  # asked by Chen Yu, filing desk
 open GET /status   # asked by Ola Berg, operations
 R
@@ -62,6 +63,8 @@
     expect "missing identity" '"code":"missing_identity"' "$(fleet_call entry-1 "$county" /returns '{}')"
     expect "forged headers change nothing" '"code":"wrong_key"' "$(fleet_call entry-1 nonsense /v1/completions "$completion" -H 'X-Acacia-Peer: entry-2' -H 'X-Customer: county-a')"
     expect "open route without key" '"status":"ok"' "$(curl -sS "$url/status")"
+    expect "no backend server" '"code":"no_backend_server"' "$(fleet_call entry-1 "$county" /v1/completions '{"model":"homeless","prompt":"x"}')"
+    expect "an unstreamed chat" '"message":{"content":' "$(fleet_call entry-2 "$county" /v1/chat/completions '{"model":"narrative-3","messages":[{"role":"user","content":"x"}],"max_tokens":2}')"
     expect "refusals are counted" 'acacia_refusals_total{reason="wrong_key"}' "$(fleet_get entry-1.operator /metrics)"
 }
 
