--- a/tests/auto/agent/tst_backendserver.cpp
+++ b/tests/auto/agent/tst_backendserver.cpp
@@ -1,6 +1,8 @@
 // The contract between an agent and its engine, and between an engine and the weight store, against
 // the stand-ins over HTTP.
 
+#include "../shared/awaiting.h"
+
 #include <agent/httpbackendserver.h>
 #include <net/httpclient.h>
 #include <net/reactor.h>
@@ -39,14 +41,7 @@
     template <typename Result>
     auto await(const std::function<void(std::function<void(const Result &)>)> &call) -> Result
     {
-        std::optional<Result> outcome;
-        call([&](const Result &result) {
-            outcome = result;
-            reactor->stop();
-        });
-        reactor->run();
-        reactor->restart();
-        return *outcome;
+        return awaitResult<Result>(*reactor, call);
     }
 
     using OrderResult = Utils::Result<void, OrderError>;
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -1,5 +1,7 @@
 // The contract of the platform's interfaces, against the stand-in over HTTP.
 
+#include "../shared/awaiting.h"
+
 #include <net/httpclient.h>
 #include <net/reactor.h>
 #include <platform/httpinstancelist.h>
@@ -34,14 +36,7 @@
     template <typename Result>
     auto await(const std::function<void(std::function<void(const Result &)>)> &call) -> Result
     {
-        std::optional<Result> outcome;
-        call([&](const Result &result) {
-            outcome = result;
-            reactor->stop();
-        });
-        reactor->run();
-        reactor->restart();
-        return *outcome;
+        return awaitResult<Result>(*reactor, call);
     }
 
     auto commit(const TableTransaction &transaction) -> Utils::Result<void, TableError>
