Requests that crash servers are refused by all gateways

Cause: each gateway counted only the crashes it had seen itself. A request that crashes its server comes again at any gateway, so with 24 gateways it could crash dozens of engines. Besides, two losses of one request at one server that died counted as two crashes. Ruled out: a row in the store (a call each, and away during outages); the holder as a hub (there may be none for 4.7 s). Strikes go to all known gateways as datagrams, twice. Change: CrashWatch, out of gatewayserver.cpp; a crash is named by server and its start. Before: with the telling switched off, tst_decisions CrashWatch.TwoCrashesSeenByTwoGateways... fails (run made). After: it passes, 28 of 28 tests.

--- /dev/null
+++ b/src/libs/gateway/crashwatch.cpp
@@ -0,0 +1,62 @@
+#include "crashwatch.h"
+
+#include <routing/crashsuspects.h>
+#include <utils/eventlog.h>
+#include <utils/jsonfield.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Gateway {
+
+namespace {
+
+/// A server's end is known at most this long after its connections were cut: its entry lapses after
+/// three missed heartbeats of 1.2 s, and the list is read every 0.6 s.
+constexpr std::chrono::milliseconds EndIsKnownAfter(5000);
+const char *const StrikeKind = "strike";
+
+} // namespace
+
+CrashWatch::CrashWatch(Routing::CrashSuspects &suspects, TellCallback tellOthers)
+    : m_suspects(suspects)
+    , m_tellOthers(std::move(tellOthers))
+{ }
+
+auto CrashWatch::noteLost(const std::string &backendId, std::int64_t startedAtMs,
+                          const std::string &fingerprint, Utils::TimePoint now) -> void
+{
+    std::erase_if(
+        m_lost, [now](const auto &item) { return now - item.second.back().at > EndIsKnownAfter; });
+    m_lost[backendId].push_back({fingerprint, startedAtMs, now});
+}
+
+auto CrashWatch::noteGone(const std::string &backendId, Utils::TimePoint now) -> void
+{
+    const auto found = m_lost.find(backendId);
+    if (found == m_lost.end())
+        return;
+    for (const LostRequest &lost : found->second) {
+        if (now - lost.at > EndIsKnownAfter)
+            continue;
+        // All gateways name the same crash alike, so that it counts once.
+        const std::string crash = backendId + '@' + std::to_string(lost.startedAtMs);
+        m_suspects.noteStrike(lost.fingerprint, crash, now);
+        m_tellOthers({{"kind", StrikeKind}, {"fingerprint", lost.fingerprint}, {"crash", crash}});
+        Utils::logEvent(Utils::Event::CrashSuspected,
+                        {{"server", backendId}, {"fingerprint", lost.fingerprint}});
+    }
+    m_lost.erase(found);
+}
+
+auto CrashWatch::takeMessage(const nlohmann::json &message, Utils::TimePoint now) -> bool
+{
+    if (Utils::fieldOr(message, "kind", std::string()) != StrikeKind)
+        return false;
+    const auto fingerprint = Utils::fieldOr(message, "fingerprint", std::string());
+    const auto crash = Utils::fieldOr(message, "crash", std::string());
+    if (!fingerprint.empty() && !crash.empty())
+        m_suspects.noteStrike(fingerprint, crash, now);
+    return true;
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -4,6 +4,7 @@
 #include "backendfollower.h"
 #include "callersession.h"
 #include "connectionpool.h"
+#include "crashwatch.h"
 #include "demandtracker.h"
 #include "freshnesswatch.h"
 #include "gatewayconstants.h"
@@ -43,6 +44,8 @@
 /// Kept of the time to stop for the process's end.
 constexpr milliseconds StopMargin(700);
 constexpr milliseconds StopTick(50);
+/// After which a message that matters to all gateways is sent again.
+constexpr milliseconds SecondTelling(300);
 
 } // namespace
 
@@ -70,6 +73,8 @@
     WaitingRoom waiting;
     DemandTracker demand;
     GatewayContext context;
+    CrashWatch crashWatch{context.crashSuspects,
+                          [this](const nlohmann::json &message) { tellOthers(message); }};
     int gateways = 1;
 
     std::unique_ptr<TableFollower> configurationFollower;
@@ -116,7 +121,8 @@
         auto peers = PeerLink::open(
             reactor, settings.peerAddress,
             [this](const nlohmann::json &message, const Http1::SocketAddress &sender) {
-                if (!exchange->takeMessage(message, sender))
+                if (!exchange->takeMessage(message, sender)
+                    && !crashWatch.takeMessage(message, reactor.now()))
                     placement->takeMessage(message, sender);
             });
         if (!peers)
@@ -161,7 +167,7 @@
         BackendFollower::Events backendEvents;
         backendEvents.onGone = [this](const std::string &id) {
             pool.forget(id);
-            strikeSuspects(id);
+            crashWatch.noteGone(id, reactor.now());
         };
         backendEvents.onChanged = [this] { waiting.wake(); };
         backendFollower = std::make_unique<BackendFollower>(context, store, wire.backendTable(),
@@ -245,31 +251,15 @@
         context.retryBudgets.clear();
     }
 
-    std::map<std::string, std::vector<std::pair<std::string, Utils::TimePoint>>> suspects;
-
-    /// A request was cut off at a server; if the server turns out to have died, it counts as a
-    /// crash.
-    auto noteSuspect(const std::string &backendId, const std::string &fingerprint) -> void
-    {
-        suspects[backendId].emplace_back(fingerprint, reactor.now());
-    }
-
-    auto strikeSuspects(const std::string &backendId) -> void
+    /// Sends to all other gateways, twice, as datagrams get lost.
+    auto tellOthers(const nlohmann::json &message) -> void
     {
-        constexpr std::chrono::seconds recent(5);
-        const auto found = suspects.find(backendId);
-        if (found == suspects.end())
-            return;
-        for (const auto &[fingerprint, at] : found->second) {
-            if (reactor.now() - at > recent)
-                continue;
-            context.crashSuspects.noteStrike(
-                fingerprint, backendId + std::to_string(at.time_since_epoch().count()),
-                reactor.now());
-            Utils::logEvent(Utils::Event::CrashSuspected,
-                            {{"server", backendId}, {"fingerprint", fingerprint}});
-        }
-        suspects.erase(found);
+        const auto send = [this, message] {
+            for (const auto &peer : placement->peers())
+                link->send(peer, message);
+        };
+        send();
+        reactor.callAfter(SecondTelling, send);
     }
 
     auto acceptCaller(std::unique_ptr<Http1::TcpStream> stream) -> void
@@ -355,7 +345,9 @@
                                     std::max(1.0, d->settings.retrySlack * share));
     };
     d->context.onSuspect = [d](const std::string &backendId, const std::string &fingerprint) {
-        d->noteSuspect(backendId, fingerprint);
+        const BackendServer *server = d->board.find(backendId);
+        d->crashWatch.noteLost(backendId, server ? server->startedAtMs : 0, fingerprint,
+                               d->reactor.now());
     };
     if (const auto fault = d->open())
         return tl::unexpected(*fault);
