A stopping gateway refuses from 2.9 s on what it may not finish

Requests sent within 3 s may be cut in the last sixth of that time, later ones may not. Ruled out: a later cut (the stream needed 9 s); closing the listener sooner (the balancer may not have asked twice). Before: tst_gateway StoppingGatewayTakesNothingThatItMightNotFinish failed (200, ran once). Also: refusals before screening name the request's id in answer and log.

--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -41,6 +41,9 @@
 constexpr milliseconds WaitingTick(25);
 /// After a request to stop, new connections still come until the balancer has asked twice.
 constexpr milliseconds LeastStopTime(3200);
+/// Requests that come later than this are refused: the platform lets a stopping process cut off
+/// only what was sent in the first three seconds.
+constexpr milliseconds StopAdmission(2900);
 /// Kept of the time to stop for the process's end.
 constexpr milliseconds StopMargin(700);
 constexpr milliseconds StopTick(50);
@@ -305,11 +308,10 @@
                 const bool anyBusy =
                     std::any_of(sessions.begin(), sessions.end(),
                                 [](const auto &item) { return item.second->isBusy(); });
-                if (passed >= LeastStopTime && callerListener) {
-                    // The balancer has seen that this gateway stops; what still comes is told so.
+                context.isStopping = passed >= StopAdmission;
+                // By now the balancer has seen that this gateway stops.
+                if (passed >= LeastStopTime)
                     callerListener.reset();
-                    context.isStopping = true;
-                }
                 const bool isOver = passed >= settings.stopTime - StopMargin;
                 if ((anyBusy || passed < LeastStopTime) && !isOver)
                     return;
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -79,6 +79,8 @@
 /// Checks what can be decided at once; false if the request was refused.
 auto RequestFlow::screen() -> bool
 {
+    if (m_parsed)
+        m_request = std::move(*m_parsed);
     if (!m_configuration || m_context.isStopping) {
         refuse(m_configuration ? RefusalReason::Draining : RefusalReason::NotFresh);
         return false;
@@ -87,7 +89,6 @@
         refuse(RefusalReason::MalformedBody);
         return false;
     }
-    m_request = std::move(*m_parsed);
     m_route = m_configuration->findRoute(m_request.host, m_request.path);
     if (!m_route) {
         refuse(RefusalReason::UnknownRoute);
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -577,3 +577,18 @@
     spin([] { return false; }, 200ms);
     EXPECT_EQ(engine.orders(), orders);
 }
+
+// Pattern: a long stream is asked for three seconds after the request to stop, and could not be
+// finished in the time that is left.
+TEST_F(Gateways, StoppingGatewayTakesNothingThatItMightNotFinish)
+{
+    auto &engine = addEngine("i-1", "lm", {"m1"});
+    startReadyGateway();
+    gateway->drain([] {});
+    spin([] { return false; }, 2950ms);
+    const auto answer = ask(text("/draft/x", "a1", m1));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->fields.has("Retry-After"));
+    EXPECT_EQ(answer->fields.value("Attempt-Id").value_or(""), "a1");
+    EXPECT_EQ(engine.runs(), 0);
+}
