Quotas: parts of gone gateways go to the others; a restart begins with part of the tolerance

Ruled out: uneven callers (each gateway used its whole part); taking over at once (a machine that is cut off still has callers); bucket levels in the store (calls are paid for). Change: the holder gives up a gateway after 8 s of silence and removes its row; a gateway's parts grow only for 6 s after it was last told that it is heard. While the store is away and nobody holds the duty, the former holder goes on confirming those it hears. Left open: a gateway that is cut off from store and holder but hears a former holder that is cut off with it, for over 8 s, goes on using its part. PartOfAGatewayThatIsGone... passes the ledger's count either way; what it stood on was the roster.

--- a/src/libs/gateway/demandbook.cpp
+++ b/src/libs/gateway/demandbook.cpp
@@ -55,9 +55,10 @@
                   [now](const auto &item) { return now - item.second.at > GatewayLifetime; });
 }
 
-auto DemandBook::clear() -> void
+auto DemandBook::isHeard(const Http1::SocketAddress &gateway, TimePoint now) const -> bool
 {
-    m_told.clear();
+    const auto found = m_told.find(gateway);
+    return found != m_told.end() && now - found->second.at < ReportLifetime;
 }
 
 auto DemandBook::total(const std::vector<ModelDemand> &own, TimePoint now) const
--- a/src/libs/gateway/demandbook.h
+++ b/src/libs/gateway/demandbook.h
@@ -27,11 +27,12 @@
     auto take(const Http1::SocketAddress &gateway, const nlohmann::json &demand,
               Utils::TimePoint now) -> bool;
     auto dropSilent(Utils::TimePoint now) -> void;
-    auto clear() -> void;
 
     /// All demand together, the holder's own included.
     auto total(const std::vector<ModelDemand> &own, Utils::TimePoint now) const
         -> std::map<ModelKey, TotalDemand>;
+    /// True if what the gateway told still counts.
+    auto isHeard(const Http1::SocketAddress &gateway, Utils::TimePoint now) const -> bool;
     auto gateways() const -> std::vector<Http1::SocketAddress>;
 
 private:
--- /dev/null
+++ b/src/libs/gateway/dutymessages.cpp
@@ -0,0 +1,87 @@
+#include "dutymessages.h"
+
+#include <utils/jsonfield.h>
+
+namespace Gateway {
+
+using nlohmann::json;
+using Utils::fieldOr;
+
+namespace {
+
+auto knowledgeToJson(const StoreKnowledge &seen) -> json
+{
+    return {seen.configurationRow, seen.serverRow, seen.outages};
+}
+
+auto knowledgeFromJson(const json &message) -> StoreKnowledge
+{
+    const auto seen = fieldOr(message, "seen", std::vector<std::uint64_t>());
+    constexpr size_t fieldCount = 3;
+    if (seen.size() != fieldCount)
+        return {};
+    return {seen[0], seen[1], seen[2]};
+}
+
+} // namespace
+
+auto HolderMessage::toJson() const -> json
+{
+    json addresses = json::array();
+    for (const auto &address : members)
+        addresses.push_back(address.toString());
+    return {{"kind", Kind},
+            {"name", name},
+            {"lease", lease},
+            {"gateways", gateways},
+            {"seen", knowledgeToJson(seen)},
+            {"members", addresses},
+            {"heard", isHeard}};
+}
+
+auto HolderMessage::fromJson(const json &message) -> HolderMessage
+{
+    HolderMessage result;
+    result.name = fieldOr(message, "name", std::string());
+    result.lease = fieldOr(message, "lease", std::uint64_t(0));
+    result.gateways = fieldOr(message, "gateways", 0);
+    result.seen = knowledgeFromJson(message);
+    result.isHeard = fieldOr(message, "heard", false);
+    for (const auto &text : fieldOr(message, "members", std::vector<std::string>())) {
+        if (const auto address = Http1::SocketAddress::parse(text))
+            result.members.push_back(*address);
+    }
+    return result;
+}
+
+auto DemandMessage::toJson() const -> json
+{
+    return {{"kind", Kind}, {"name", name}, {"seen", knowledgeToJson(seen)}, {"demand", demand}};
+}
+
+auto DemandMessage::fromJson(const json &message) -> DemandMessage
+{
+    return {fieldOr(message, "name", std::string()), knowledgeFromJson(message),
+            message.value("demand", json::array())};
+}
+
+auto EngineMessage::toJson() const -> json
+{
+    json models = json::object();
+    for (const auto &[model, adapters] : report.models)
+        models[model] = adapters;
+    return {{"kind", Kind}, {"id", id}, {"orders", report.ordersAccepted}, {"models", models}};
+}
+
+auto EngineMessage::fromJson(const json &message) -> EngineMessage
+{
+    EngineMessage result;
+    result.id = fieldOr(message, "id", std::string());
+    result.report.ordersAccepted = fieldOr(message, "orders", std::int64_t(0));
+    const json models = message.value("models", json::object());
+    for (const auto &[model, adapters] : models.items())
+        result.report.models[model] = adapters.get<std::set<std::string>>();
+    return result;
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -67,6 +67,17 @@
 /// Longest Retry-After; by then demand has changed more than anyone can foresee.
 constexpr std::chrono::milliseconds LongestRetryAfter(2000);
 
+/// A gateway that has not heard for this long how many share the quotas lets its part grow no more:
+/// the holder of the placement duty may have given it to the others. Longer than it takes for the
+/// duty to pass to another holder (4.7 s).
+constexpr std::chrono::milliseconds QuotaPartLifetime(6000);
+/// A gateway that was silent for this long is given up: its part of the quotas has stopped growing,
+/// and two seconds are left for what it heard last and for the way.
+constexpr std::chrono::milliseconds GatewaySilence(8000);
+/// Part of the platform's tolerance on quotas with which a restarted gateway begins, as it does not
+/// know what was left: all gateways may restart twice in one window.
+constexpr double RestartToleranceShare = 0.5;
+
 /// Part of the fleet's retry budget that is used; the rest covers windows that slide.
 constexpr double RetryBudgetUse = 0.8;
 
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -60,7 +60,7 @@
         , wire(w)
         , board(s.failureDomain)
         , pool(r)
-        , quota(s.isFirstStart)
+        , quota(s.isFirstStart, s.quotaTolerance)
         , waiting(r)
         , context{r,       w,       board, pool,    quota, waiting, demand,
                   metrics, nullptr, {},    nullptr, {},    nullptr}
@@ -182,17 +182,18 @@
                                                    [this] { return placement->peers(); });
         context.onModelWanted = [this] { placement->hurry(); };
         context.onQuotaLack = [this] { exchange->askNow(); };
-        placement->onGateways([this](int count) { setGateways(count); });
         PlacementDuty::KnowledgeEvents knowledge;
         knowledge.own = [this] {
-            return PlacementDuty::StoreKnowledge{configurationFollower->newestRow(),
-                                                 backendFollower->follower().newestRow(), 0};
+            return StoreKnowledge{configurationFollower->newestRow(),
+                                  backendFollower->follower().newestRow(), 0};
         };
-        knowledge.onPeer = [this](const PlacementDuty::StoreKnowledge &peer) {
+        knowledge.onPeer = [this](const StoreKnowledge &peer) {
             configurationWatch.notePeer(peer.configurationRow, reactor.now());
             serverWatch.notePeer(peer.serverRow, reactor.now());
         };
         knowledge.onStoreBack = [this] { askAnew("store back", true, true); };
+        knowledge.onGateways = [this](int count) { setGateways(count); };
+        knowledge.onPartsConfirmed = [this] { quota.confirmParts(reactor.now()); };
         placement->setKnowledgeEvents(std::move(knowledge));
         configurationFollower->start();
         backendFollower->start();
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -38,6 +38,9 @@
     constexpr double usualSlack = 50;
     settings.retryRatio = reader.number("retryRatio", 0, mostRetryRatio, usualRatio);
     settings.retrySlack = reader.number("retrySlack", 0, mostRetrySlack, usualSlack);
+    settings.quotaTolerance.window =
+        reader.milliseconds("quotaWindowMs", std::chrono::milliseconds(0));
+    settings.quotaTolerance.share = reader.number("quotaTolerance", 0, 1, 0);
     settings.placement.leaseTime = reader.milliseconds("leaseTimeMs", settings.placement.leaseTime);
     settings.placement.processorShare = reader.number("processorShare", 0, 1024, 1);
     settings.placement.loadWindow =
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placementduty.h"
+#include "quotaledger.h"
 
 #include <http1/socketaddress.h>
 
@@ -28,6 +29,7 @@
     std::chrono::milliseconds stopTime{8000}; ///< From the request to stop until the kill.
     double retryRatio = 0; ///< Retries for each request, over all gateways.
     double retrySlack = 0; ///< Retries beyond that in one window, over all gateways.
+    QuotaTolerance quotaTolerance;
     PlacementLimits placement;
 };
 
--- /dev/null
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -0,0 +1,116 @@
+#include "leasekeeper.h"
+
+#include <utils/boottime.h>
+#include <utils/jsonfield.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Gateway {
+
+using nlohmann::json;
+
+LeaseKeeper::LeaseKeeper(RowStore &store, std::string table, std::string name,
+                         const Http1::SocketAddress &address, const Membership::DutyTiming &timing,
+                         Events events)
+    : m_store(store)
+    , m_table(std::move(table))
+    , m_name(std::move(name))
+    , m_address(address)
+    , m_lease(m_name, timing)
+    , m_events(std::move(events))
+{ }
+
+auto LeaseKeeper::tick() -> void
+{
+    switch (m_lease.tick(Utils::bootTime())) {
+    case Membership::LeaseStep::Nothing:
+        return;
+    case Membership::LeaseStep::Read:
+        return read();
+    case Membership::LeaseStep::Write:
+        return write();
+    }
+}
+
+auto LeaseKeeper::read() -> void
+{
+    m_store.list(m_table, Key, [self = shared_from_this()](const auto &answer) {
+        if (self->m_isStopped)
+            return;
+        self->noteStore(answer.has_value());
+        if (!answer)
+            return self->m_lease.takeFailure();
+        for (const Row &row : answer->rows) {
+            if (row.key == Key)
+                return self->takeRow(row);
+        }
+        self->takeNoRow();
+    });
+}
+
+auto LeaseKeeper::write() -> void
+{
+    const json value = {{"holder", m_name}, {"address", m_address.toString()}};
+    const auto sentAt = Utils::bootTime();
+    m_store.write(m_table, Key, m_lease.expectedVersion(), value.dump(),
+                  [self = shared_from_this(), sentAt](const auto &answer) {
+                      if (self->m_isStopped)
+                          return;
+                      if (answer) {
+                          self->m_lease.takeWritten(*answer, sentAt);
+                          self->noteStore(true);
+                      } else {
+                          self->m_lease.takeFailure();
+                          if (answer.error() == StoreError::Unavailable)
+                              self->noteStore(false);
+                      }
+                      self->m_events.onStep();
+                  });
+}
+
+auto LeaseKeeper::takeRow(const Row &row) -> void
+{
+    const json value = json::parse(row.value, nullptr, false);
+    const auto address =
+        Http1::SocketAddress::parse(Utils::fieldOr(value, "address", std::string()));
+    const std::string name = Utils::fieldOr(value, "holder", std::string());
+    m_lease.takeRow({name, row.version}, Utils::bootTime());
+    if (address && name != m_name)
+        m_events.onOtherHolder(*address);
+}
+
+auto LeaseKeeper::takeNoRow() -> void
+{
+    m_lease.takeRow({}, Utils::bootTime());
+}
+
+auto LeaseKeeper::takeTold(const std::string &holder, std::uint64_t version) -> void
+{
+    if (version >= m_lease.version())
+        m_lease.takeRow({holder, version}, Utils::bootTime());
+}
+
+auto LeaseKeeper::noteStore(bool answers) -> void
+{
+    const bool isBack = answers && m_storeIsAway;
+    m_storeIsAway = !answers;
+    if (isBack)
+        m_events.onStoreBack();
+}
+
+auto LeaseKeeper::stop() -> void
+{
+    m_isStopped = true;
+}
+
+auto LeaseKeeper::isHeld() const -> bool
+{
+    return !m_isStopped && m_lease.isHeld(Utils::bootTime());
+}
+
+auto LeaseKeeper::version() const -> std::uint64_t
+{
+    return m_lease.version();
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/libs/gateway/leasekeeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "rowstore.h"
+
+#include <http1/socketaddress.h>
+#include <membership/dutylease.h>
+#include <utils/timepoint.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Gateway {
+
+/// The lease on the placement duty as a row of the platform's store.
+class LeaseKeeper : public std::enable_shared_from_this<LeaseKeeper>
+{
+public:
+    struct Events
+    {
+        /// Another gateway's name stands in the row.
+        std::function<void(const Http1::SocketAddress &)> onOtherHolder;
+        std::function<void()> onStoreBack; ///< The store answers after it did not.
+        std::function<void()> onStep; ///< A write has ended.
+    };
+
+    /// Key of the row in the gateways' table.
+    static constexpr const char *Key = "placement";
+
+    /// `address` is written beside the name, for the other gateways' datagrams.
+    LeaseKeeper(RowStore &store, std::string table, std::string name,
+                const Http1::SocketAddress &address, const Membership::DutyTiming &timing,
+                Events events);
+
+    /// Reads or writes the row if that is due.
+    auto tick() -> void;
+    auto takeRow(const Row &row) -> void;
+    /// There is no row yet.
+    auto takeNoRow() -> void;
+    /// The holder itself told its name and the row's version.
+    auto takeTold(const std::string &holder, std::uint64_t version) -> void;
+    auto stop() -> void;
+
+    auto isHeld() const -> bool;
+    auto version() const -> std::uint64_t;
+
+private:
+    auto read() -> void;
+    auto write() -> void;
+    auto noteStore(bool answers) -> void;
+
+    RowStore &m_store;
+    std::string m_table;
+    std::string m_name;
+    Http1::SocketAddress m_address;
+    Membership::DutyLease m_lease;
+    Events m_events;
+    bool m_storeIsAway = false;
+    bool m_isStopped = false;
+};
+
+} // namespace Gateway
--- a/src/libs/gateway/placementduty.cpp
+++ b/src/libs/gateway/placementduty.cpp
@@ -4,14 +4,13 @@
 #include "demandbook.h"
 #include "engineplacement.h"
 #include "gatewaycontext.h"
+#include "gatewayroster.h"
+#include "leasekeeper.h"
 #include "peerlink.h"
 #include "rowstore.h"
 #include "waitingroom.h"
-#include "wireformat.h"
 
-#include <membership/dutylease.h>
 #include <net/reactor.h>
-#include <utils/boottime.h>
 #include <utils/eventlog.h>
 #include <utils/jsonfield.h>
 
@@ -27,7 +26,6 @@
 
 /// The gateways' own table: the lease of the duty, and a row for each gateway that ever started.
 const char *const stateTable = "acaciahall";
-const char *const leaseKey = "placement";
 const char *const gatewayKeyPrefix = "gateway/";
 
 /// Pause between two rounds of the duty; orders' ends are looked at in between.
@@ -52,14 +50,8 @@
 /// Added to the platform's least time between two holders' orders, for clocks and the way.
 constexpr milliseconds LeaseMargin(500);
 
-/// What an engine holds, as the holder tells others.
-auto describeEngine(const std::string &id, const EngineReport &state) -> json
-{
-    json models = json::object();
-    for (const auto &[model, adapters] : state.models)
-        models[model] = adapters;
-    return {{"kind", "engine"}, {"id", id}, {"orders", state.ordersAccepted}, {"models", models}};
-}
+/// Message of a former holder: no holder can be chosen, and the gateways hear each other.
+const char *const PartsConfirmedKind = "parts-confirmed";
 
 } // namespace
 
@@ -72,7 +64,6 @@
         , link(l)
         , own(identity)
         , limits(bounds)
-        , lease(identity.name, {RenewPeriod, HoldLimit, HoldLimit + bounds.leaseTime + LeaseMargin})
     { }
 
     GatewayContext &context;
@@ -80,27 +71,49 @@
     PeerLink &link;
     Identity own;
     PlacementLimits limits;
-    Membership::DutyLease lease;
-    std::function<void(int)> onGateways;
+    std::shared_ptr<LeaseKeeper> lease;
     KnowledgeEvents knowledge;
     std::uint64_t outages = 0;
-    bool storeIsAway = false;
     TimePoint startedAt;
     milliseconds leaseDelay{0};
     bool stopped = false;
     bool onDuty = false;
+    bool wasLastOnDuty = false; ///< No other holder is known since.
     std::optional<Http1::SocketAddress> holder;
     TimePoint holderHeardAt;
-    std::set<std::string> gateways; ///< Names that are registered or were heard.
-    int announcedGateways = 0;
-    std::vector<Http1::SocketAddress> announcedPeers; ///< Told by the holder.
+    GatewayRoster roster;
+    std::map<std::string, std::uint64_t> rowVersions; ///< Of gateways' rows, by name.
+    bool isRosterRead = false; ///< Since the duty was taken.
+    int announcedGateways = 0; ///< By the holder.
+    std::vector<Http1::SocketAddress> announcedPeers;
     DemandBook members;
     std::unique_ptr<EnginePlacement> placement; ///< While the duty is held.
     TimePoint nextReport;
+    TimePoint nextWork;
+    bool workPending = false;
     bool hurried = false;
 
     auto now() const -> TimePoint { return context.reactor.now(); }
 
+    auto open() -> void
+    {
+        LeaseKeeper::Events events;
+        events.onOtherHolder = [this](const Http1::SocketAddress &address) {
+            holder = address;
+            wasLastOnDuty = false;
+        };
+        events.onStoreBack = [this] {
+            ++outages;
+            knowledge.onStoreBack();
+        };
+        events.onStep = [this] { tick(); };
+        const Membership::DutyTiming timing = {RenewPeriod, HoldLimit,
+                                               HoldLimit + limits.leaseTime + LeaseMargin};
+        lease = std::make_shared<LeaseKeeper>(store, stateTable, own.name, own.address, timing,
+                                              std::move(events));
+    }
+
+    /// Reads which gateways there are, and the lease.
     auto readRows() -> void
     {
         store.list(stateTable, {}, [self = shared_from_this()](const auto &answer) {
@@ -119,54 +132,60 @@
 
     auto takeRows(const std::vector<Row> &rows) -> void
     {
-        const std::string ownKey = gatewayKeyPrefix + own.name;
-        bool isRegistered = false;
-        Membership::LeaseRow leaseRow;
+        std::set<std::string> names = {own.name};
+        rowVersions.clear();
+        bool hasLease = false;
         for (const Row &row : rows) {
-            if (row.key == leaseKey)
-                leaseRow = takeLeaseValue(row);
-            if (row.key.starts_with(gatewayKeyPrefix))
-                gateways.insert(row.key.substr(std::string(gatewayKeyPrefix).size()));
-            isRegistered = isRegistered || row.key == ownKey;
+            if (row.key == LeaseKeeper::Key && !onDuty)
+                lease->takeRow(row);
+            hasLease = hasLease || row.key == LeaseKeeper::Key;
+            if (row.key.starts_with(gatewayKeyPrefix)) {
+                const std::string name = row.key.substr(std::string(gatewayKeyPrefix).size());
+                names.insert(name);
+                rowVersions[name] = row.version;
+            }
         }
-        lease.takeRow(leaseRow, Utils::bootTime());
-        gateways.insert(own.name);
+        if (!hasLease)
+            lease->takeNoRow();
+        roster.reset(names, now());
+        isRosterRead = true;
+        if (rowVersions.count(own.name) == 0)
+            registerGateway(own.name, own.address);
         announceGateways();
-        if (!isRegistered)
-            store.write(stateTable, ownKey, 0, own.address.toString(), [](const auto &) {});
         tick();
     }
 
-    auto takeLeaseValue(const Row &row) -> Membership::LeaseRow
+    auto registerGateway(const std::string &name, const Http1::SocketAddress &address) -> void
     {
-        const json value = json::parse(row.value, nullptr, false);
-        const auto address =
-            Http1::SocketAddress::parse(Utils::fieldOr(value, "address", std::string()));
-        const std::string name = Utils::fieldOr(value, "holder", std::string());
-        if (address && name != own.name)
-            holder = *address;
-        return {name, row.version};
+        store.write(stateTable, gatewayKeyPrefix + name, 0, address.toString(),
+                    [self = shared_from_this(), name](const auto &answer) {
+                        if (answer)
+                            self->rowVersions[name] = *answer;
+                    });
     }
 
-    auto announceGateways() -> void
+    auto announceGateways() -> void { knowledge.onGateways(std::max(gatewayCount(), 1)); }
+
+    /// Gateways that share the quotas. Until the table was read anew, a new holder goes by what the
+    /// one before told.
+    auto gatewayCount() const -> int
     {
-        const int count = std::max<int>(static_cast<int>(gateways.size()), announcedGateways);
-        if (onGateways)
-            onGateways(std::max(count, 1));
+        if (onDuty)
+            return isRosterRead ? roster.count() : std::max(roster.count(), announcedGateways);
+        return announcedGateways > 0 ? announcedGateways : roster.count();
     }
 
     auto tick() -> void
     {
         if (stopped)
             return;
-        const TimePoint bootNow = Utils::bootTime();
-        const bool held = lease.isHeld(bootNow);
+        const bool held = lease->isHeld();
         if (held != onDuty)
             changeDuty(held);
         const bool mayAsk =
             now() - startedAt >= leaseDelay && now() - holderHeardAt > HolderSilence;
         if (held || mayAsk)
-            stepLease(bootNow);
+            lease->tick();
         if (onDuty)
             work();
         if (now() >= nextReport)
@@ -183,86 +202,34 @@
         });
     }
 
-    auto stepLease(TimePoint bootNow) -> void
+    auto takeKnowledge(const StoreKnowledge &seen) -> void
     {
-        switch (lease.tick(bootNow)) {
-        case Membership::LeaseStep::Nothing:
-            return;
-        case Membership::LeaseStep::Read:
-            store.list(stateTable, leaseKey, [self = shared_from_this()](const auto &answer) {
-                if (self->stopped)
-                    return;
-                self->noteStore(answer.has_value());
-                if (!answer)
-                    return self->lease.takeFailure();
-                Membership::LeaseRow row;
-                for (const Row &found : answer->rows) {
-                    if (found.key == leaseKey)
-                        row = self->takeLeaseValue(found);
-                }
-                self->lease.takeRow(row, Utils::bootTime());
-            });
-            return;
-        case Membership::LeaseStep::Write:
-            break;
-        }
-        const json value = {{"holder", own.name}, {"address", own.address.toString()}};
-        store.write(stateTable, leaseKey, lease.expectedVersion(), value.dump(),
-                    [self = shared_from_this(), bootNow](const auto &answer) {
-                        if (self->stopped)
-                            return;
-                        if (answer) {
-                            self->lease.takeWritten(*answer, bootNow);
-                            self->noteStore(true);
-                        } else {
-                            self->lease.takeFailure();
-                            if (answer.error() == StoreError::Unavailable)
-                                self->noteStore(false);
-                        }
-                        self->tick();
-                    });
-    }
-
-    auto noteStore(bool answers) -> void
-    {
-        if (!answers) {
-            storeIsAway = true;
-        } else if (storeIsAway) {
-            storeIsAway = false;
-            ++outages;
+        knowledge.onPeer(seen);
+        if (seen.outages > outages) {
+            outages = seen.outages;
             knowledge.onStoreBack();
         }
     }
 
-    auto describeKnowledge() -> json
+    auto ownKnowledge() const -> StoreKnowledge
     {
-        const StoreKnowledge known = knowledge.own();
-        return {known.configurationRow, known.serverRow, outages};
-    }
-
-    auto takeKnowledge(const json &message) -> void
-    {
-        const auto seen = Utils::fieldOr(message, "seen", std::vector<std::uint64_t>());
-        constexpr size_t fieldCount = 3;
-        if (seen.size() != fieldCount)
-            return;
-        knowledge.onPeer({seen[0], seen[1], seen[2]});
-        if (seen[2] > outages) {
-            outages = seen[2];
-            knowledge.onStoreBack();
-        }
+        StoreKnowledge known = knowledge.own();
+        known.outages = outages;
+        return known;
     }
 
     auto changeDuty(bool held) -> void
     {
         onDuty = held;
         Utils::logEvent(held ? Utils::Event::DutyTaken : Utils::Event::DutyLost,
-                        {{"duty", "placement"}, {"fence", lease.version()}});
+                        {{"duty", "placement"}, {"fence", lease->version()}});
         placement.reset();
-        members.clear();
         if (!held)
             return;
+        wasLastOnDuty = true;
         holder.reset();
+        isRosterRead = false;
+        readRows();
         EnginePlacement::Events events;
         events.authority = [this] { return authority(); };
         events.onEngine = [this](const std::string &id, const EngineReport &state) {
@@ -272,16 +239,13 @@
             std::make_unique<EnginePlacement>(context, limits.loadWindow, std::move(events));
     }
 
-    auto authority() -> std::optional<OrderAuthority>
+    auto authority() const -> std::optional<OrderAuthority>
     {
-        if (!lease.isHeld(Utils::bootTime()))
+        if (!lease->isHeld())
             return {};
-        return OrderAuthority{own.name, lease.version()};
+        return OrderAuthority{own.name, lease->version()};
     }
 
-    TimePoint nextWork;
-    bool workPending = false;
-
     /// Plans now, or as soon as the share of the processor allows it.
     auto work() -> void
     {
@@ -305,7 +269,7 @@
     auto engineChanged(const std::string &id, const EngineReport &state) -> void
     {
         context.waiting.wake();
-        const json message = describeEngine(id, state);
+        const json message = EngineMessage{id, state}.toJson();
         for (const auto &address : members.gateways())
             link.send(address, message);
         // The engine may take its next order.
@@ -321,29 +285,66 @@
     {
         hurried = false;
         nextReport = now() + ReportPause;
-        if (onDuty) {
-            members.dropSilent(now());
-            json addresses = json::array();
-            for (const auto &address : members.gateways())
-                addresses.push_back(address.toString());
-            const json message = {{"kind", "holder"},
-                                  {"name", own.name},
-                                  {"lease", lease.version()},
-                                  {"gateways", gateways.size()},
-                                  {"seen", describeKnowledge()},
-                                  {"members", addresses}};
-            for (const auto &address : members.gateways())
-                link.send(address, message);
-            return;
+        if (onDuty)
+            return reportAsHolder();
+        if (holder)
+            return link.send(*holder,
+                             DemandMessage{own.name, ownKnowledge(),
+                                           DemandBook::toJson(context.demand.demand(now()))}
+                                 .toJson());
+        if (wasLastOnDuty)
+            reportWithoutLease();
+    }
+
+    auto reportAsHolder() -> void
+    {
+        members.dropSilent(now());
+        dropSilentGateways();
+        knowledge.onPartsConfirmed();
+        HolderMessage message;
+        message.name = own.name;
+        message.lease = lease->version();
+        message.gateways = gatewayCount();
+        message.seen = ownKnowledge();
+        message.members = members.gateways();
+        for (const auto &address : message.members) {
+            message.isHeard = members.isHeard(address, now());
+            link.send(address, message.toJson());
+        }
+    }
+
+    /// While the store is away nobody holds the lease, and nobody can give a gateway up: those that
+    /// hear each other keep their parts of the quotas.
+    auto reportWithoutLease() -> void
+    {
+        bool isAnyHeard = false;
+        for (const auto &address : members.gateways()) {
+            if (!members.isHeard(address, now()))
+                continue;
+            isAnyHeard = true;
+            link.send(address, {{"kind", PartsConfirmedKind}});
         }
-        if (!holder)
+        if (isAnyHeard)
+            knowledge.onPartsConfirmed();
+    }
+
+    auto dropSilentGateways() -> void
+    {
+        roster.noteHeard(own.name, now());
+        const auto silent = roster.takeSilent(now());
+        if (silent.empty())
             return;
-        const json demand = DemandBook::toJson(context.demand.demand(now()));
-        link.send(*holder,
-                  {{"kind", "demand"},
-                   {"name", own.name},
-                   {"seen", describeKnowledge()},
-                   {"demand", demand}});
+        for (const std::string &name : silent) {
+            Utils::logEvent(Utils::Event::GatewayGivenUp,
+                            {{"gateway", name}, {"gateways", roster.count()}});
+            const auto row = rowVersions.find(name);
+            if (row == rowVersions.end())
+                continue;
+            // A row that stays counts again with the next holder, until it is given up again.
+            store.remove(stateTable, gatewayKeyPrefix + name, row->second, [](const auto &) {});
+            rowVersions.erase(row);
+        }
+        announceGateways();
     }
 
     auto takeMessage(const json &message, const Http1::SocketAddress &sender) -> void
@@ -352,59 +353,62 @@
         if (stopped)
             return;
         const std::string kind = Utils::fieldOr(message, "kind", std::string());
-        if (kind == "demand" && onDuty)
-            takeDemand(message, sender);
-        else if (kind == "holder" && !onDuty)
-            takeHolder(message, sender);
-        else if (kind == "engine" && !onDuty)
-            takeEngine(message);
+        if (kind == DemandMessage::Kind)
+            takeDemand(DemandMessage::fromJson(message), sender);
+        else if (kind == HolderMessage::Kind && !onDuty)
+            takeHolder(HolderMessage::fromJson(message), sender);
+        else if (kind == EngineMessage::Kind && !onDuty)
+            takeEngine(EngineMessage::fromJson(message));
+        else if (kind == PartsConfirmedKind && !onDuty)
+            knowledge.onPartsConfirmed();
     }
 
-    auto takeDemand(const json &message, const Http1::SocketAddress &sender) -> void
+    auto takeDemand(const DemandMessage &message, const Http1::SocketAddress &sender) -> void
     {
-        takeKnowledge(message);
-        const bool isNew = members.take(sender, message.value("demand", json::array()), now());
-        if (gateways.insert(Utils::fieldOr(message, "name", std::string())).second)
+        if (!onDuty && !wasLastOnDuty)
+            return;
+        const bool isNew = members.take(sender, message.demand, now());
+        takeKnowledge(message.seen);
+        if (!onDuty)
+            return;
+        if (roster.noteHeard(message.name, now())) {
             announceGateways();
+            if (isRosterRead && rowVersions.count(message.name) == 0)
+                registerGateway(message.name, sender);
+        }
         if (isNew) {
             placement->visit([&](const std::string &id, const EngineReport &state) {
-                link.send(sender, describeEngine(id, state));
+                link.send(sender, EngineMessage{id, state}.toJson());
             });
             nextReport = now();
         }
         work();
     }
 
-    auto takeHolder(const json &message, const Http1::SocketAddress &sender) -> void
+    auto takeHolder(const HolderMessage &message, const Http1::SocketAddress &sender) -> void
     {
         // Between two holders nobody may have seen that the store was away.
         if (!holder || !(*holder == sender))
             knowledge.onStoreBack();
         holder = sender;
+        wasLastOnDuty = false;
         holderHeardAt = now();
-        takeKnowledge(message);
-        const auto version = Utils::fieldOr(message, "lease", std::uint64_t(0));
-        if (version >= lease.version())
-            lease.takeRow({Utils::fieldOr(message, "name", std::string()), version},
-                          Utils::bootTime());
-        announcedGateways = Utils::fieldOr(message, "gateways", 0);
+        takeKnowledge(message.seen);
+        lease->takeTold(message.name, message.lease);
+        announcedGateways = message.gateways;
         announcedPeers = {sender};
-        for (const auto &text : Utils::fieldOr(message, "members", std::vector<std::string>())) {
-            const auto address = Http1::SocketAddress::parse(text);
-            if (address && *address != own.address)
-                announcedPeers.push_back(*address);
+        for (const auto &address : message.members) {
+            if (address != own.address)
+                announcedPeers.push_back(address);
         }
         announceGateways();
+        if (message.isHeard)
+            knowledge.onPartsConfirmed();
     }
 
-    auto takeEngine(const json &message) -> void
+    auto takeEngine(const EngineMessage &message) -> void
     {
-        EngineReport report;
-        report.ordersAccepted = Utils::fieldOr(message, "orders", std::int64_t(0));
-        const json models = message.value("models", json::object());
-        for (const auto &[model, adapters] : models.items())
-            report.models[model] = adapters.get<std::set<std::string>>();
-        context.board.takeReport(Utils::fieldOr(message, "id", std::string()), report);
+        context.board.takeReport(message.id, message.report);
         context.waiting.wake();
     }
 };
@@ -421,6 +425,7 @@
 
 auto PlacementDuty::start() -> void
 {
+    d->open();
     d->startedAt = d->now();
     d->leaseDelay = std::chrono::duration_cast<milliseconds>(
         WeakestDelay * (1 - std::clamp(d->limits.processorShare, 0.0, 1.0)));
@@ -432,6 +437,8 @@
 {
     d->stopped = true;
     d->onDuty = false;
+    if (d->lease)
+        d->lease->stop();
     d->placement.reset();
 }
 
@@ -468,11 +475,6 @@
     d->knowledge = std::move(events);
 }
 
-auto PlacementDuty::onGateways(std::function<void(int)> callback) -> void
-{
-    d->onGateways = std::move(callback);
-}
-
 auto PlacementDuty::peers() const -> std::vector<Http1::SocketAddress>
 {
     if (!d->onDuty)
--- a/src/libs/gateway/placementduty.h
+++ b/src/libs/gateway/placementduty.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "demandtracker.h"
+#include "dutymessages.h"
 
 #include <http1/socketaddress.h>
 #include <utils/timepoint.h>
 
-#include <nlohmann/json_fwd.hpp>
-
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -32,18 +30,14 @@
 class PlacementDuty
 {
 public:
-    /// What a gateway knows of the store, as gateways tell each other.
-    struct StoreKnowledge
-    {
-        std::uint64_t configurationRow = 0; ///< Version of the newest row known.
-        std::uint64_t serverRow = 0;
-        std::uint64_t outages = 0; ///< How often the holder saw the store come back.
-    };
     struct KnowledgeEvents
     {
         std::function<StoreKnowledge()> own;
         std::function<void(const StoreKnowledge &)> onPeer;
         std::function<void()> onStoreBack; ///< Questions from before may never be answered.
+        std::function<void(int)> onGateways; ///< How many share the quotas.
+        /// Nobody gives this gateway up for a while.
+        std::function<void()> onPartsConfirmed;
     };
 
     struct Identity
@@ -61,9 +55,7 @@
     auto takeMessage(const nlohmann::json &message, const Http1::SocketAddress &sender) -> void;
     /// Demand has changed in a way that should not wait for the next round.
     auto hurry() -> void;
-    /// Called when the number of gateways is known anew.
     auto setKnowledgeEvents(KnowledgeEvents events) -> void;
-    auto onGateways(std::function<void(int)> callback) -> void;
     auto isHolder() const -> bool;
     /// Addresses of the other gateways, as the holder knows them.
     auto peers() const -> std::vector<Http1::SocketAddress>;
--- a/src/libs/gateway/quotaledger.cpp
+++ b/src/libs/gateway/quotaledger.cpp
@@ -1,5 +1,7 @@
 #include "quotaledger.h"
 
+#include "gatewayconstants.h"
+
 #include <algorithm>
 
 namespace Gateway {
@@ -19,12 +21,33 @@
 
 } // namespace
 
-QuotaLedger::QuotaLedger(bool beginsFull)
+QuotaLedger::QuotaLedger(bool beginsFull, QuotaTolerance tolerance)
     : m_beginsFull(beginsFull)
+    , m_tolerance(tolerance)
 { }
 
+auto QuotaLedger::firstLevel(const Customer &customer) const -> double
+{
+    if (m_beginsFull)
+        return customer.burst / m_gateways;
+    const double allowed =
+        customer.ratePerSecond * Utils::toSeconds(m_tolerance.window) + customer.burst;
+    const double spare = allowed * m_tolerance.share * Constants::RestartToleranceShare;
+    return std::min(spare, customer.burst) / m_gateways;
+}
+
+auto QuotaLedger::confirmParts(TimePoint now) -> void
+{
+    // What grew until now belongs to the confirmation before.
+    for (auto &[name, bucket] : m_buckets)
+        refill(bucket, now);
+    m_confirmedAt = now;
+}
+
 auto QuotaLedger::configure(const std::vector<Customer> &customers, TimePoint now) -> void
 {
+    // What a gateway read when it started counts as the first confirmation.
+    m_confirmedAt = std::min(m_confirmedAt, now);
     std::map<std::string, Bucket> next;
     for (const Customer &customer : customers) {
         if (customer.ratePerSecond <= 0)
@@ -35,7 +58,7 @@
             bucket = old->second;
             refill(bucket, now);
         } else {
-            bucket.level = m_beginsFull ? customer.burst / m_gateways : 0;
+            bucket.level = firstLevel(customer);
             bucket.filledAt = now;
         }
         bucket.rate = customer.ratePerSecond;
@@ -60,7 +83,10 @@
 auto QuotaLedger::refill(Bucket &bucket, TimePoint now) const -> void
 {
     const double part = bucket.burst / m_gateways;
-    const double grown = bucket.rate / m_gateways * Utils::toSeconds(now - bucket.filledAt);
+    const TimePoint growsUntil =
+        m_gateways == 1 ? now : std::min(now, m_confirmedAt + Constants::QuotaPartLifetime);
+    const auto growing = std::max(growsUntil - bucket.filledAt, Utils::Duration::zero());
+    const double grown = bucket.rate / m_gateways * Utils::toSeconds(growing);
     bucket.filledAt = now;
     bucket.promised = std::max(0.0, bucket.promised - grown);
     bucket.borrowed = std::clamp(bucket.level, 0.0, bucket.borrowed);
--- a/src/libs/gateway/quotaledger.h
+++ b/src/libs/gateway/quotaledger.h
@@ -17,17 +17,28 @@
     double amount = 0;
 };
 
+/// By how much the platform lets a customer exceed its contract in any window.
+struct QuotaTolerance
+{
+    Utils::Duration window{0};
+    double share = 0; ///< Of what the contract allows in the window.
+};
+
 /// This gateway's part of each customer's rate and burst. All gateways' parts together make up the
 /// contract; unused tokens move between them as grants, which the giver deducts before it sends
 /// them, so that no loss of messages or gateways can make more of them than there are.
 class QuotaLedger
 {
 public:
-    /// A gateway that starts while others run begins with empty parts.
-    explicit QuotaLedger(bool beginsFull);
+    /// A gateway that starts while others run does not know what was left of its parts; it begins
+    /// with a share of the tolerance.
+    explicit QuotaLedger(bool beginsFull, QuotaTolerance tolerance = {});
 
     auto configure(const std::vector<Customer> &customers, Utils::TimePoint now) -> void;
     auto setGateways(int count, Utils::TimePoint now) -> void;
+    /// The number of gateways was confirmed. Parts grow for a while after that only, so that others
+    /// may take over the part of a gateway that is gone, or cut off.
+    auto confirmParts(Utils::TimePoint now) -> void;
 
     /// Takes a request's tokens if they are there, and notes the lack otherwise.
     auto take(const std::string &customer, double amount, Utils::TimePoint now) -> bool;
@@ -61,8 +72,12 @@
 
     auto refill(Bucket &bucket, Utils::TimePoint now) const -> void;
 
+    auto firstLevel(const Customer &customer) const -> double;
+
     bool m_beginsFull;
+    QuotaTolerance m_tolerance;
     int m_gateways = 1;
+    Utils::TimePoint m_confirmedAt = Utils::TimePoint::max(); ///< Until the first confirmation.
     std::map<std::string, Bucket> m_buckets;
 };
 
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -285,6 +285,8 @@
                      {"route", m_route ? m_route->name : std::string()},
                      {"customer", m_customer ? m_customer->name : std::string()},
                      {"model", m_request.modelName()},
+                     {"tokens", m_request.tokens()},
+                     {"charged", m_charged},
                      {"server", m_attempt ? m_attempt->backendId() : m_lastServer},
                      {"sends", m_sends},
                      {"mayHaveRun", m_ranAt},
--- a/src/libs/gateway/rowstore.h
+++ b/src/libs/gateway/rowstore.h
@@ -54,6 +54,9 @@
     virtual auto write(const std::string &table, const std::string &key,
                        std::uint64_t expectedVersion, const std::string &value, WriteCallback done)
         -> void = 0;
+    /// Removes a row if it still has `expectedVersion`.
+    virtual auto remove(const std::string &table, const std::string &key,
+                        std::uint64_t expectedVersion, WriteCallback done) -> void = 0;
 };
 
 } // namespace Gateway
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -28,6 +28,7 @@
     BackendChanged = 209,
     BackendGone = 210,
     StoreAskedAnew = 211,
+    GatewayGivenUp = 212,
     RequestRefused = 300,
     RequestServed = 301,
     RequestRetried = 302,
--- a/tests/auto/gateway/tst_quotaledger.cpp
+++ b/tests/auto/gateway/tst_quotaledger.cpp
@@ -1,6 +1,7 @@
 // Gateways share a customer's contract: no order of requests, grants, losses and restarts lets more
 // through than the contract allows, and what one gateway doesn't use another one gets.
 
+#include <gateway/gatewayconstants.h>
 #include <gateway/quotaledger.h>
 
 #include <gtest/gtest.h>
@@ -83,6 +84,8 @@
     while (now < start + 10s) {
         now += 10ms;
         // One gateway has nearly all of the callers, who ask for 0.9 of the rate.
+        for (QuotaLedger &ledger : ledgers)
+            ledger.confirmParts(now);
         if (ledgers[0].take("county", 9, now))
             passed += 9;
         for (const QuotaWant &want : ledgers[0].takeWants(now)) {
@@ -137,3 +140,76 @@
     ledger.configure(customers(0, 0), start);
     EXPECT_TRUE(ledger.take("county", 1e9, start));
 }
+
+// Pattern: a machine is replaced by one of another name while a customer asks for all that it may.
+TEST(QuotaLedger, PartOfAGatewayThatIsGoneGoesToTheOthers)
+{
+    constexpr double rate = 1000;
+    auto ledgers = makeLedgers(4, rate, rate);
+    double passed = 0;
+    const TimePoint givenUp = start + Constants::GatewaySilence;
+    for (TimePoint now = start; now < givenUp + 10s; now += 10ms) {
+        for (size_t i = 0; i < 3; ++i) {
+            ledgers[i].confirmParts(now);
+            ledgers[i].setGateways(now < givenUp ? 4 : 3, now);
+            if (ledgers[i].take("county", 5, now) && now > givenUp + 1s)
+                passed += 5;
+        }
+    }
+    EXPECT_GT(passed, 0.97 * rate * 9);
+}
+
+// Pattern: a gateway is cut off from the others, who take over its part, and still has callers.
+TEST(QuotaLedger, PartOfAGatewayThatIsCutOffIsNotUsedTwice)
+{
+    constexpr double rate = 1000;
+    constexpr double burst = 500;
+    auto ledgers = makeLedgers(4, rate, burst);
+    const TimePoint cutAt = start + 2s;
+    const TimePoint givenUp = cutAt + Constants::GatewaySilence;
+    double passed = 0;
+    TimePoint now = start;
+    for (; now < givenUp + 20s; now += 10ms) {
+        for (size_t i = 0; i < ledgers.size(); ++i) {
+            const bool isCutOff = i == 3 && now > cutAt;
+            if (!isCutOff) {
+                ledgers[i].confirmParts(now);
+                ledgers[i].setGateways(now < givenUp ? 4 : 3, now);
+            }
+            if (ledgers[i].take("county", 5, now))
+                passed += 5;
+        }
+    }
+    EXPECT_LE(passed, burst + rate * Utils::toSeconds(now - start) + 20);
+}
+
+// Pattern: all gateways are killed at once and come back, twice within the time over which a
+// customer's use is measured.
+TEST(QuotaLedger, RestartedGatewaysStayWithinTheTolerance)
+{
+    constexpr double rate = 1000;
+    constexpr double burst = 1000;
+    constexpr double share = 0.1;
+    constexpr auto window = 8s;
+    auto ledgers = makeLedgers(4, rate, burst);
+    double passed = 0;
+    int restarts = 0;
+    for (TimePoint now = start; now < start + window; now += 10ms) {
+        if (restarts < 2 && now >= start + (restarts + 1) * 2s) {
+            ++restarts;
+            ledgers.assign(4, QuotaLedger(false, {window, share}));
+            for (QuotaLedger &ledger : ledgers) {
+                ledger.setGateways(4, now);
+                ledger.configure(customers(rate, burst), now);
+            }
+            EXPECT_TRUE(ledgers[0].take("county", 10, now)) << "something may be asked for at once";
+            passed += 10;
+        }
+        for (QuotaLedger &ledger : ledgers) {
+            ledger.confirmParts(now);
+            if (ledger.take("county", 5, now))
+                passed += 5;
+        }
+    }
+    EXPECT_LE(passed, (rate * Utils::toSeconds(window) + burst) * (1 + share));
+}
