--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -181,8 +181,7 @@
             if (const auto flow = weak.lock())
                 flow->handleTimeUp();
         });
-    const auto mostWait = duration_cast<Duration>(total * Constants::WaitingShare);
-    m_waitTimer = m_context.reactor.callAfter(mostWait, [weak] {
+    m_waitTimer = m_context.reactor.callAfter(m_route->longestWait(total), [weak] {
         if (const auto flow = weak.lock())
             flow->handleWaitOver();
     });
