Revert "Requests for streams are refused before their callers leave"

Cause of the revert: a stream's caller has no time beyond its patience, also after a refusal: a request refused at 1.9 s has 0.5 s left for its next try. So callers wait as before; those that leave by themselves are seen at once.

--- a/src/libs/gateway/configuration.cpp
+++ b/src/libs/gateway/configuration.cpp
@@ -1,39 +1,14 @@
 #include "configuration.h"
 
-#include "gatewayconstants.h"
-
 #include <algorithm>
 
 namespace Gateway {
 
-using std::chrono::duration_cast;
-using std::chrono::milliseconds;
-
-namespace {
-
-auto shareOf(milliseconds time, double share) -> milliseconds
-{
-    return duration_cast<milliseconds>(time * share);
-}
-
-} // namespace
-
 auto Route::mayRepeat() const -> bool
 {
     return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && mayResume);
 }
 
-auto Route::longestWait(milliseconds total) const -> milliseconds
-{
-    const milliseconds usual = shareOf(total, Constants::WaitingShare);
-    if (kind != RouteKind::Stream)
-        return usual;
-    const milliseconds patience =
-        std::max({Constants::LeastStreamPatience, latencyObjective * Constants::PatientObjectives,
-                  pauseObjective * Constants::PatientPauses});
-    return std::min(usual, shareOf(patience, Constants::StreamWaitingShare));
-}
-
 auto Configuration::index() -> void
 {
     m_routesByHost.clear();
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -44,9 +44,6 @@
 
     /// True if a request may run again after it may have run.
     auto mayRepeat() const -> bool;
-    /// How long a request with `total` time may wait for a backend server. A caller of a stream
-    /// leaves long before its time has passed if it sees no event; refused in time it comes back.
-    auto longestWait(std::chrono::milliseconds total) const -> std::chrono::milliseconds;
 };
 
 /// A model as the operators describe it.
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -49,14 +49,6 @@
 
 /// Part of a caller's patience for which a request may wait for a backend server.
 constexpr double WaitingShare = 0.5;
-/// A stream's caller leaves if it sees no event for the longest of these: a time, a number of latency
-/// objectives, a number of longest pauses. The platform's clients do so.
-constexpr std::chrono::milliseconds LeastStreamPatience(2000);
-constexpr int PatientObjectives = 4;
-constexpr int PatientPauses = 8;
-/// Part of that time for which its request may wait for a backend server; the rest is for the way
-/// and the first event.
-constexpr double StreamWaitingShare = 0.8;
 /// Kept of the remaining time for the answer's way back.
 constexpr std::chrono::milliseconds AnswerMargin(5);
 /// An idempotent request that has not been answered after this many latency objectives is sent to
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -181,7 +181,8 @@
             if (const auto flow = weak.lock())
                 flow->handleTimeUp();
         });
-    m_waitTimer = m_context.reactor.callAfter(m_route->longestWait(total), [weak] {
+    const auto mostWait = duration_cast<Duration>(total * Constants::WaitingShare);
+    m_waitTimer = m_context.reactor.callAfter(mostWait, [weak] {
         if (const auto flow = weak.lock())
             flow->handleWaitOver();
     });
