Loads from the weight store: few at once, each model once, and known over a lapse of the lease

Besides, a model that was waited for was loaded three times at once. Ruled out: slow planning (orders from engines' own copies went on at 7 to 10 a second). Change: what was ordered stays known until another gateway has the duty; engines that are busy by an unknown order count as loading from the store; how many loads run at once is learnt from how long they take, from 2 on; a second copy comes from the store after the first; loads for later leave one free. Found besides: a gateway object that is destroyed while requests wait crashed (tests only, the process does not destroy it); WaitingRoom::clear.

--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -57,7 +57,9 @@
 
 auto EngineDesk::isLoadingFromStore() const -> bool
 {
-    return m_coming && m_coming->isFromStore;
+    // What a holder before this one ordered is not known; a swap from a copy would soon be over.
+    const bool isUnknownOrder = m_isKnown && m_state.isBusy && !m_coming && m_leaving.empty();
+    return isUnknownOrder || (m_coming && m_coming->isFromStore);
 }
 
 auto EngineDesk::adapterCount() const -> int
@@ -168,7 +170,7 @@
 auto EngineDesk::load(const std::string &model, std::chrono::milliseconds expected,
                       bool isFromStore, TimePoint now) -> void
 {
-    m_coming = PendingLoad{model, isFromStore, now + expected + ReportLag};
+    m_coming = PendingLoad{model, isFromStore, now + expected + ReportLag, expected, now};
     EngineOrder order;
     order.kind = EngineOrder::Kind::Load;
     order.model = model;
@@ -343,8 +345,12 @@
         m_leaving.clear();
     if (m_coming && m_state.models.count(m_coming->model) > 0) {
         m_readySince[m_coming->model] = now;
+        const auto took =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_coming->startedAt);
         Utils::logEvent(Utils::Event::LoadConfirmed,
-                        {{"server", m_id}, {"model", m_coming->model}});
+                        {{"server", m_id}, {"model", m_coming->model}, {"tookMs", took.count()}});
+        if (m_coming->isFromStore)
+            m_events.onStoreLoad(m_coming->nominal, took);
         m_coming.reset();
     } else if (m_coming && !m_state.isBusy && now > m_coming->dueAt + ReportRetry) {
         Utils::logEvent(Utils::Event::LoadFailed, {{"server", m_id}, {"model", m_coming->model}});
--- a/src/libs/gateway/enginedesk.h
+++ b/src/libs/gateway/enginedesk.h
@@ -35,6 +35,8 @@
     struct Events
     {
         std::function<void()> onChanged; ///< What the engine holds is known anew.
+        /// A load from the weight store has ended: its nominal time, and the time that it took.
+        std::function<void(std::chrono::milliseconds, std::chrono::milliseconds)> onStoreLoad;
         /// Asked right before an order leaves; nothing forbids it.
         std::function<std::optional<OrderAuthority>()> authority;
     };
@@ -58,6 +60,7 @@
                      Utils::TimePoint now) -> void;
     /// True if the adapter is held, on its way, or in line for it.
     auto isAdapterWanted(const std::string &model, const std::string &adapter) const -> bool;
+    /// True if it loads from the weight store, or may do so by another holder's order.
     auto isLoadingFromStore() const -> bool;
     auto adapterCount() const -> int;
 
@@ -67,6 +70,8 @@
         std::string model;
         bool isFromStore = false;
         Utils::TimePoint dueAt;
+        std::chrono::milliseconds nominal{0};
+        Utils::TimePoint startedAt;
     };
 
     auto give(EngineOrder order, std::function<void(OrderResult)> done) -> void;
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/// Loads from the weight store that run at once; beyond a few, each takes longer in proportion and
-/// nothing is gained.
-constexpr int StoreLoadsAtOnce = 4;
-
 auto idOf(const std::string &deskKey) -> std::string
 {
     return deskKey.substr(0, deskKey.rfind('@'));
@@ -95,6 +91,10 @@
             if (*alive)
                 engineChanged(key, id);
         };
+        events.onStoreLoad = [this, alive = m_alive](milliseconds nominal, milliseconds took) {
+            if (*alive)
+                m_pacer.noteLoaded(nominal, took, runningStoreLoads());
+        };
         events.authority = m_events.authority;
         m_desks.emplace(key,
                         std::make_unique<EngineDesk>(m_context, server->id, std::move(events)));
@@ -102,17 +102,22 @@
     std::erase_if(m_desks, [&](const auto &item) { return present.count(item.first) == 0; });
 }
 
+auto EnginePlacement::runningStoreLoads() const -> int
+{
+    return static_cast<int>(std::count_if(m_desks.begin(), m_desks.end(), [](const auto &item) {
+        return item.second->isLoadingFromStore();
+    }));
+}
+
 auto EnginePlacement::storeLoadsAllowed(const EngineDescription &description) -> int
 {
     const TimePoint at = now();
     while (!m_storeLoads.empty() && at - m_storeLoads.front() > m_loadWindow)
         m_storeLoads.pop_front();
-    int running = 0;
-    for (const auto &[key, desk] : m_desks)
-        running += desk->isLoadingFromStore() ? 1 : 0;
     const int perWindow =
         static_cast<int>(description.storeLoadsPerSecond * Utils::toSeconds(m_loadWindow));
-    return std::min(StoreLoadsAtOnce - running, perWindow - static_cast<int>(m_storeLoads.size()));
+    return std::min(m_pacer.limit() - runningStoreLoads(),
+                    perWindow - static_cast<int>(m_storeLoads.size()));
 }
 
 auto EnginePlacement::placeModels(const std::string &service, const EngineDescription &description,
--- a/src/libs/gateway/engineplacement.h
+++ b/src/libs/gateway/engineplacement.h
@@ -2,6 +2,7 @@
 
 #include "demandtracker.h"
 #include "enginedesk.h"
+#include "storeloadpacer.h"
 #include "swapplanner.h"
 
 #include <chrono>
@@ -16,7 +17,7 @@
 struct GatewayContext;
 
 /// The holder's work on all model engines: what each is known to hold, what is ordered from it.
-/// Lives as long as the duty is held, so that nothing known before is taken for still true.
+/// Lives until another gateway has the duty, so that nothing known before is taken for still true.
 class EnginePlacement
 {
 public:
@@ -41,6 +42,7 @@
 private:
     auto syncDesks() -> void;
     auto engineChanged(const std::string &key, const std::string &id) -> void;
+    auto runningStoreLoads() const -> int;
     auto storeLoadsAllowed(const EngineDescription &description) -> int;
     auto placeModels(const std::string &service, const EngineDescription &description,
                      const std::map<ModelKey, TotalDemand> &demand) -> void;
@@ -56,6 +58,7 @@
     Events m_events;
     std::map<std::string, std::unique_ptr<EngineDesk>> m_desks; ///< By id and start.
     std::map<std::string, SwapPlanner> m_planners; ///< By service.
+    StoreLoadPacer m_pacer;
     std::deque<Utils::TimePoint> m_storeLoads; ///< When loads from the weight store began.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -334,6 +334,7 @@
 {
     d->placement.reset();
     d->sessions.clear();
+    d->waiting.clear();
 }
 
 auto GatewayServer::create(Net::Reactor &reactor, const GatewaySettings &settings, RowStore &store,
--- a/src/libs/gateway/placementduty.cpp
+++ b/src/libs/gateway/placementduty.cpp
@@ -87,7 +87,8 @@
     int announcedGateways = 0; ///< By the holder.
     std::vector<Http1::SocketAddress> announcedPeers;
     DemandBook members;
-    std::unique_ptr<EnginePlacement> placement; ///< While the duty is held.
+    /// From when the duty is taken until another gateway has it.
+    std::unique_ptr<EnginePlacement> placement;
     TimePoint nextReport;
     TimePoint nextWork;
     bool workPending = false;
@@ -100,7 +101,7 @@
         LeaseKeeper::Events events;
         events.onOtherHolder = [this](const Http1::SocketAddress &address) {
             holder = address;
-            wasLastOnDuty = false;
+            yieldDuty();
         };
         events.onStoreBack = [this] {
             ++outages;
@@ -113,6 +114,14 @@
                                               std::move(events));
     }
 
+    /// Another gateway has or had the duty: what this one knew of engines no longer holds.
+    auto yieldDuty() -> void
+    {
+        wasLastOnDuty = false;
+        if (!onDuty)
+            placement.reset();
+    }
+
     /// Reads which gateways there are, and the lease.
     auto readRows() -> void
     {
@@ -223,13 +232,15 @@
         onDuty = held;
         Utils::logEvent(held ? Utils::Event::DutyTaken : Utils::Event::DutyLost,
                         {{"duty", "placement"}, {"fence", lease->version()}});
-        placement.reset();
+        // While nobody else takes the duty, what was ordered stays known.
         if (!held)
             return;
-        wasLastOnDuty = true;
         holder.reset();
         isRosterRead = false;
         readRows();
+        if (wasLastOnDuty && placement)
+            return;
+        wasLastOnDuty = true;
         EnginePlacement::Events events;
         events.authority = [this] { return authority(); };
         events.onEngine = [this](const std::string &id, const EngineReport &state) {
@@ -391,7 +402,7 @@
         if (!holder || !(*holder == sender))
             knowledge.onStoreBack();
         holder = sender;
-        wasLastOnDuty = false;
+        yieldDuty();
         holderHeardAt = now();
         takeKnowledge(message.seen);
         lease->takeTold(message.name, message.lease);
--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -61,6 +61,8 @@
     Lookup lookup;
     lookup.adapterRoomMb = adapterRoom(*input.description);
     for (const PlannedEngine &engine : input.engines) {
+        if (!engine.coming.empty())
+            lookup.coming.insert(engine.coming);
         for (const std::string &model : engine.models) {
             ++lookup.holders[model];
             lookup.anywhere.insert(model);
@@ -196,12 +198,17 @@
         if (beingMadeRoomFor.count(wish.model->name) > 0
             || (wish.reason == PrefetchReason && isUnservedLeft))
             continue;
+        // One load from the store stays free for models that will be waited for.
+        const int keptStoreLoads = wish.reason == PrefetchReason && !input.demand.empty() ? 1 : 0;
         std::optional<Candidate> best;
         for (const PlannedEngine &engine : input.engines) {
             if (engine.isBusy || used.count(engine.id) > 0 || engine.models.count(wish.model->name))
                 continue;
             auto candidate = judge(input, lookup, engine, *wish.model, wish.worth);
-            if (!candidate || (candidate->isFromStore && storeLoads <= 0))
+            if (!candidate || (candidate->isFromStore && storeLoads <= keptStoreLoads))
+                continue;
+            // Loads from the store slow each other down: a second copy comes after the first.
+            if (candidate->isFromStore && lookup.coming.count(wish.model->name) > 0)
                 continue;
             const auto intent = m_intents.find(engine.id);
             if (intent != m_intents.end() && intent->second.model == wish.model->name)
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -80,6 +80,7 @@
         std::map<std::string, double> rates; ///< Requests a second at each engine.
         double adapterRoomMb = 0;
         std::set<std::string> anywhere; ///< Models held or copied at any engine.
+        std::set<std::string> coming; ///< Models that are being loaded somewhere.
         std::set<std::string> copiedAtBusy; ///< Models with a copy at an engine that is busy.
     };
 
--- a/src/libs/gateway/waitingroom.cpp
+++ b/src/libs/gateway/waitingroom.cpp
@@ -29,6 +29,14 @@
     m_keys.erase(found);
 }
 
+auto WaitingRoom::clear() -> void
+{
+    // Requests remove themselves when they end.
+    const auto flows = std::move(m_flows);
+    m_flows.clear();
+    m_keys.clear();
+}
+
 auto WaitingRoom::wake() -> void
 {
     if (m_scheduled || m_flows.empty())
--- a/src/libs/gateway/waitingroom.h
+++ b/src/libs/gateway/waitingroom.h
@@ -37,6 +37,8 @@
 
     auto add(const std::shared_ptr<RequestFlow> &flow, const WaitingRank &rank) -> void;
     auto remove(const RequestFlow *flow) -> void;
+    /// Drops all, as the gateway ends.
+    auto clear() -> void;
     /// Something changed that may let requests go on; all are tried soon.
     auto wake() -> void;
     auto size() const -> size_t { return m_flows.size(); }
--- a/tests/auto/gateway/tst_swapplanner.cpp
+++ b/tests/auto/gateway/tst_swapplanner.cpp
@@ -240,3 +240,33 @@
         }
     }
 }
+
+// Pattern: the only engine with a busy model has crashed, and dozens of requests wait while the
+// model comes from the weight store.
+TEST_F(SwapPlans, ModelComesFromTheStoreOnceAtATime)
+{
+    auto &first = addEngine("e1", {"m5"});
+    first.coming = "m5";
+    first.isBusy = true;
+    addEngine("e2", {"m0"});
+    addEngine("e3", {"m1"});
+    input.demand["m5"] = {40, 0, 20, 0};
+    EXPECT_FALSE(find(planner.plan(input), Kind::Load, "m5"));
+    input.engines[2].copiesOnDisk = {"m5"};
+    const auto orders = planner.plan(input);
+    const auto *load = find(orders, Kind::Load, "m5");
+    ASSERT_TRUE(load) << "a copy on disk does not burden the store";
+    EXPECT_EQ(load->engine, "e3");
+}
+
+// Pattern: models are loaded ahead of demand while others are asked for.
+TEST_F(SwapPlans, LoadsForLaterLeaveTheStoreFreeForOne)
+{
+    addEngine("e1", {"m0"});
+    addEngine("e2", {"m1"});
+    input.demand["m0"] = {0, 1, 1, 0};
+    input.storeLoadsAllowed = 1;
+    EXPECT_TRUE(planner.plan(input).empty());
+    input.storeLoadsAllowed = 2;
+    EXPECT_EQ(planner.plan(input).size(), 1U);
+}
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -592,3 +592,31 @@
     EXPECT_EQ(answer->fields.value("Attempt-Id").value_or(""), "a1");
     EXPECT_EQ(engine.runs(), 0);
 }
+
+// Pattern: the store answers the holder of the placement duty late or not at all for a moment while
+// a model comes from the weight store.
+TEST_F(Gateways, HolderThatTakesTheDutyAgainKnowsWhatItOrdered)
+{
+    int loads = 0;
+    for (const char *id : {"i-1", "i-2"}) {
+        auto &engine = addEngine(id, "lm", {id == std::string("i-1") ? "m1" : "m3"});
+        engine.behaviour.loadTime = 6s;
+        engine.observer.onOrder = [&loads](const auto &, const EmulatedEngine::Order &order) {
+            loads += order.isLoad && order.model == "m2" ? 1 : 0;
+        };
+    }
+    putConfiguration(2);
+    startReadyGateway();
+    ASSERT_TRUE(spin([&] { return loads == 1; })) << "m2 is loaded for later";
+    store->setMode(EmulatedStore::Mode::Busy);
+    spin([] { return false; }, 1700ms);
+    store->setMode(EmulatedStore::Mode::Normal);
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (int i = 0; i < 8; ++i) {
+        answers.push_back(std::make_shared<Answer>());
+        callRaw(*answers.back(), address,
+                text("/batch/x", "a" + std::to_string(i), "Model: m2\r\nToken-Count: 10,10\r\n"));
+        spin([] { return false; }, 300ms);
+    }
+    EXPECT_EQ(loads, 1);
+}
