A gateway on a slow link learns from answers that come late

On a machine whose answers take longer than the patience of 0.3 s while others always know newer rows, every answer was thrown away and paid for again: front-nzn-b-8 took no configuration from 11.9 s to 35.4 s. Ruled out: a longer patience alone, which only moves the length at which it happens.

Change: a repeat is asked beside the open questions; any answer with newer rows counts, and only the newest question leads to the next. Repeats wait for twice the measured answer time and become rarer until something newer is known. TableFollower takes a Net::Scheduler, so that its tests run in virtual time.

Before: tst_tablefollower fails in three tests (no row of 60 taken in 30 s with answers of 0.35 to 2.5 s). After: all pass.

--- a/src/libs/gateway/freshnesswatch.cpp
+++ b/src/libs/gateway/freshnesswatch.cpp
@@ -1,13 +1,32 @@
 #include "freshnesswatch.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
+using Utils::Duration;
 using Utils::TimePoint;
 
-FreshnessWatch::FreshnessWatch(Utils::Duration patience)
-    : m_patience(patience)
+namespace {
+
+/// Times the usual answer time after which an answer counts as lost.
+constexpr int PatienceInAnswerTimes = 2;
+/// Longest wait before a repeat; the client gives a question up by itself soon after.
+constexpr std::chrono::milliseconds LongestPatience(2400);
+
+} // namespace
+
+FreshnessWatch::FreshnessWatch(Duration leastPatience)
+    : m_leastPatience(leastPatience)
+    , m_patience(leastPatience)
 { }
 
+auto FreshnessWatch::noteAnswerTime(Duration answerTime) -> void
+{
+    m_patience = std::clamp<Duration>(answerTime * PatienceInAnswerTimes, m_leastPatience,
+                                      LongestPatience);
+}
+
 auto FreshnessWatch::notePeer(std::uint64_t version, TimePoint now) -> void
 {
     if (version <= m_peerVersion)
@@ -20,14 +39,26 @@
 auto FreshnessWatch::isDue(std::uint64_t ownVersion, TimePoint now) -> bool
 {
     if (ownVersion >= m_peerVersion) {
+        m_ownVersion = ownVersion;
         m_behindSince.reset();
+        m_repeats = 0;
         return false;
     }
-    if (!m_behindSince)
+    // Answers come, if late.
+    if (ownVersion > m_ownVersion || !m_behindSince) {
+        m_ownVersion = ownVersion;
+        m_repeats = 0;
         m_behindSince = now;
-    if (now - *m_behindSince < m_patience)
+    }
+    // The first repeat may be lost like the question; from then on answers are slow.
+    const int doublings = std::max(m_repeats - 1, 0);
+    Duration wait = m_patience;
+    for (int i = 0; i < doublings && wait < LongestPatience; ++i)
+        wait *= 2;
+    if (now - *m_behindSince < std::min<Duration>(wait, LongestPatience))
         return false;
     m_behindSince = now;
+    ++m_repeats;
     return true;
 }
 
--- a/src/libs/gateway/freshnesswatch.h
+++ b/src/libs/gateway/freshnesswatch.h
@@ -12,17 +12,24 @@
 class FreshnessWatch
 {
 public:
-    /// Others may be ahead for `patience`, as answers don't come everywhere at once.
-    explicit FreshnessWatch(Utils::Duration patience);
+    /// Others may be ahead for `leastPatience`, as answers don't come everywhere at once.
+    explicit FreshnessWatch(Utils::Duration leastPatience);
+
+    /// How long answers take here; one that takes a little longer is not lost yet.
+    auto noteAnswerTime(Utils::Duration answerTime) -> void;
 
     /// The newest row that another gateway knows.
     auto notePeer(std::uint64_t version, Utils::TimePoint now) -> void;
-    /// True if the store should be asked anew; at most once in a while.
+    /// True if the store should be asked anew. Repeats become rarer until something newer is known:
+    /// each one is a load that may itself delay the answers.
     auto isDue(std::uint64_t ownVersion, Utils::TimePoint now) -> bool;
 
 private:
+    Utils::Duration m_leastPatience;
     Utils::Duration m_patience;
     std::uint64_t m_peerVersion = 0;
+    std::uint64_t m_ownVersion = 0;
+    int m_repeats = 0; ///< Without anything newer since.
     std::optional<Utils::TimePoint> m_behindSince;
 };
 
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -11,8 +11,8 @@
 /// Pause between two questions for changed servers. Engines write an entry at each load; what must
 /// be known within two seconds is that one leaves.
 constexpr std::chrono::milliseconds ServerListPause(600);
-/// Others may know a newer row for this long before a question to the store counts as swallowed:
-/// answers on servers are gathered, those on the configuration come at once.
+/// Others may know a newer row for this long at least before a question to the store counts as
+/// swallowed: answers on servers are gathered, those on the configuration come at once.
 constexpr std::chrono::milliseconds ServerListPatience(700);
 constexpr std::chrono::milliseconds ConfigurationPatience(300);
 /// First and longest pause before the store is asked again after a failure. Refused calls are
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -223,7 +223,7 @@
         context.configuration = std::make_shared<const Configuration>(std::move(*parsed));
     }
 
-    /// Gives up open questions to the store, which may have swallowed them.
+    /// Asks the store beside the open questions, which it may have swallowed.
     auto askAnew(const char *reason, bool configuration, bool servers) -> void
     {
         Utils::logEvent(
@@ -238,6 +238,8 @@
     auto checkFreshness() -> void
     {
         const auto now = reactor.now();
+        configurationWatch.noteAnswerTime(configurationFollower->answerTime());
+        serverWatch.noteAnswerTime(backendFollower->follower().answerTime());
         const bool configuration =
             configurationWatch.isDue(configurationFollower->newestRow(), now);
         const bool servers = serverWatch.isDue(backendFollower->follower().newestRow(), now);
--- a/src/libs/gateway/tablefollower.cpp
+++ b/src/libs/gateway/tablefollower.cpp
@@ -2,63 +2,111 @@
 
 #include "gatewayconstants.h"
 
-#include <net/reactor.h>
+#include <net/scheduler.h>
 
 #include <algorithm>
+#include <map>
+#include <vector>
 
 namespace Gateway {
 
+namespace {
+
+/// A question to the store. Only the answer to the newest one leads to the next question; answers
+/// to earlier ones still bring their rows.
+struct Question
+{
+    std::uint64_t number = 0;
+    Utils::TimePoint askedAt;
+    bool isHurried = false; ///< The store had an answer when it was asked.
+};
+
+/// A read of the whole table, page by page.
+struct Reading
+{
+    Question question;
+    std::vector<Row> rows;
+    std::uint64_t version = 0; ///< Of the first page: changes after it follow.
+};
+
+} // namespace
+
 struct TableFollower::Private : std::enable_shared_from_this<TableFollower::Private>
 {
-    Net::Reactor *reactor = nullptr;
+    Net::Scheduler *scheduler = nullptr;
     RowStore *store = nullptr;
     std::string table;
     Events events;
     std::map<std::string, std::uint64_t> known; ///< Version of each row that exists.
-    std::vector<Row> listed; ///< Pages of a read in progress.
-    std::uint64_t listedVersion = 0;
     std::uint64_t version = 0;
     std::uint64_t newestRow = 0;
-    std::uint64_t round = 0; ///< Answers to questions of earlier rounds are dropped.
+    std::uint64_t newestQuestion = 0;
+    Utils::Duration answerTime{0};
     bool connected = false;
     bool caughtUp = false;
+    bool mustReadAll = true; ///< Changes since the last read are not all known.
     bool stopped = false;
     std::chrono::milliseconds gatherPause{0};
     std::chrono::milliseconds pause = Constants::FirstRetryPause;
 
-    auto readAll(const std::string &from) -> void
+    auto ask(bool isHurried) -> void
     {
-        if (from.empty()) {
-            listed.clear();
-            listedVersion = 0;
-        }
-        store->list(table, from, [self = shared_from_this(), asked = round](const auto &answer) {
-            if (!self->stopped && asked == self->round)
-                self->takeList(answer);
+        const Question question = {++newestQuestion, scheduler->now(), isHurried};
+        if (mustReadAll)
+            readPage(std::make_shared<Reading>(Reading{question, {}, 0}), {});
+        else
+            askChanges(question);
+    }
+
+    /// Asks after `delay`, unless there is a newer question by then.
+    auto askLater(std::chrono::milliseconds delay) -> void
+    {
+        scheduler->callAfter(delay, [self = shared_from_this(), newest = newestQuestion] {
+            if (!self->stopped && newest == self->newestQuestion)
+                self->ask(false);
+        });
+    }
+
+    auto readPage(const std::shared_ptr<Reading> &reading, const std::string &from) -> void
+    {
+        store->list(table, from, [self = shared_from_this(), reading](const auto &answer) {
+            if (!self->stopped)
+                self->takePage(reading, answer);
         });
     }
 
-    auto takeList(const Utils::Result<RowSet, StoreError> &answer) -> void
+    auto takePage(const std::shared_ptr<Reading> &reading,
+                  const Utils::Result<RowSet, StoreError> &answer) -> void
     {
         if (!answer)
-            return fail(answer.error());
-        if (listed.empty())
-            listedVersion = answer->version;
-        listed.insert(listed.end(), answer->rows.begin(), answer->rows.end());
-        if (answer->hasMore && !answer->rows.empty())
-            return readAll(answer->rows.back().key + '\0');
+            return fail(reading->question, answer.error());
         succeed();
-        applyList();
-        version = std::max(version, listedVersion);
+        if (reading->rows.empty())
+            reading->version = answer->version;
+        reading->rows.insert(reading->rows.end(), answer->rows.begin(), answer->rows.end());
+        if (answer->hasMore && !answer->rows.empty())
+            return readPage(reading, answer->rows.back().key + '\0');
+        answerTime = scheduler->now() - reading->question.askedAt;
+        takeReading(*reading);
+        if (!stopped && reading->question.number == newestQuestion)
+            ask(false);
+    }
+
+    auto takeReading(Reading &reading) -> void
+    {
+        if (caughtUp && reading.version < version)
+            return;
+        applyList(reading.rows);
+        version = std::max(version, reading.version);
+        mustReadAll = false;
         if (!caughtUp) {
             caughtUp = true;
             events.onCaughtUp();
         }
-        askChanges();
     }
 
     /// Rows in the order in which they were written, after what was removed since the last read.
-    auto applyList() -> void
+    auto applyList(std::vector<Row> &listed) -> void
     {
         std::map<std::string, std::uint64_t> before;
         before.swap(known);
@@ -77,28 +125,50 @@
             if (old == before.end() || old->second != row.version)
                 events.onRow(row);
         }
-        listed.clear();
     }
 
-    auto askChanges() -> void
+    auto askChanges(const Question &question) -> void
     {
         store->changes(table, version, Constants::ChangesWait,
-                       [self = shared_from_this(), asked = round](const auto &answer) {
-                           if (!self->stopped && asked == self->round)
-                               self->takeChanges(answer);
+                       [self = shared_from_this(), question](const auto &answer) {
+                           if (!self->stopped)
+                               self->takeChanges(question, answer);
                        });
     }
 
-    auto takeChanges(const Utils::Result<RowSet, StoreError> &answer) -> void
+    auto takeChanges(const Question &question, const Utils::Result<RowSet, StoreError> &answer)
+        -> void
     {
+        const bool isNewest = question.number == newestQuestion;
         if (!answer && answer.error() == StoreError::HistoryGone) {
-            ++round;
-            return readAll({});
+            if (isNewest) {
+                mustReadAll = true;
+                ask(false);
+            }
+            return;
         }
         if (!answer)
-            return fail(answer.error());
+            return fail(question, answer.error());
         succeed();
-        for (const Row &row : answer->rows) {
+        if (question.isHurried)
+            answerTime = scheduler->now() - question.askedAt;
+        const bool bringsNews = answer->version > version && !mustReadAll;
+        if (bringsNews)
+            applyChanges(*answer);
+        if (stopped || !isNewest)
+            return;
+        if (gatherPause > std::chrono::milliseconds(0) && bringsNews && !answer->rows.empty())
+            askLater(gatherPause);
+        else
+            ask(false);
+    }
+
+    auto applyChanges(const RowSet &changes) -> void
+    {
+        for (const Row &row : changes.rows) {
+            // An answer to a later question may have brought it already.
+            if (row.version != 0 && row.version <= version)
+                continue;
             newestRow = std::max(newestRow, row.version);
             if (row.isRemoved)
                 known.erase(row.key);
@@ -108,13 +178,7 @@
             if (stopped)
                 return;
         }
-        version = std::max(version, answer->version);
-        if (gatherPause == std::chrono::milliseconds(0) || answer->rows.empty())
-            return askChanges();
-        reactor->callAfter(gatherPause, [self = shared_from_this(), asked = round] {
-            if (!self->stopped && asked == self->round)
-                self->askChanges();
-        });
+        version = changes.version;
     }
 
     auto succeed() -> void
@@ -126,29 +190,24 @@
         }
     }
 
-    auto fail(StoreError error) -> void
+    auto fail(const Question &question, StoreError error) -> void
     {
+        if (question.number != newestQuestion)
+            return;
         if (connected) {
             connected = false;
             events.onLost(error);
         }
-        reactor->callAfter(pause, [self = shared_from_this(), asked = round] {
-            if (self->stopped || asked != self->round)
-                return;
-            if (self->caughtUp)
-                self->askChanges();
-            else
-                self->readAll({});
-        });
+        askLater(pause);
         pause = std::min(pause * 2, Constants::LongestRetryPause);
     }
 };
 
-TableFollower::TableFollower(Net::Reactor &reactor, RowStore &store, std::string table,
+TableFollower::TableFollower(Net::Scheduler &scheduler, RowStore &store, std::string table,
                              std::chrono::milliseconds pause, Events events)
     : d(std::make_shared<Private>())
 {
-    d->reactor = &reactor;
+    d->scheduler = &scheduler;
     d->store = &store;
     d->table = std::move(table);
     d->gatherPause = pause;
@@ -162,7 +221,7 @@
 
 auto TableFollower::start() -> void
 {
-    d->readAll({});
+    d->ask(false);
 }
 
 auto TableFollower::isConnected() const -> bool
@@ -180,13 +239,14 @@
     return d->newestRow;
 }
 
+auto TableFollower::answerTime() const -> Utils::Duration
+{
+    return d->answerTime;
+}
+
 auto TableFollower::hurry() -> void
 {
-    ++d->round;
-    if (d->caughtUp)
-        d->askChanges();
-    else
-        d->readAll({});
+    d->ask(true);
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/tablefollower.h
+++ b/src/libs/gateway/tablefollower.h
@@ -4,14 +4,14 @@
 
 #include <utils/timepoint.h>
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace Net {
-class Reactor;
+class Scheduler;
 }
 
 namespace Gateway {
@@ -31,7 +31,7 @@
 
     /// After an answer the next question waits for `pause`, so that changes in quick succession
     /// come in one answer.
-    TableFollower(Net::Reactor &reactor, RowStore &store, std::string table,
+    TableFollower(Net::Scheduler &scheduler, RowStore &store, std::string table,
                   std::chrono::milliseconds pause, Events events);
     ~TableFollower();
 
@@ -40,7 +40,10 @@
     auto isCaughtUp() const -> bool;
     /// Version of the newest row, or removal of one, that is known here.
     auto newestRow() const -> std::uint64_t;
-    /// Someone knows a newer version: gives up the open question and asks anew.
+    /// How long the store took to answer a question that it could answer at once.
+    auto answerTime() const -> Utils::Duration;
+    /// Someone knows a newer version: asks beside the open questions, one of which may have been
+    /// lost. Their answers still count, however late: a slow link would else never bring one.
     auto hurry() -> void;
 
 private:
--- a/src/libs/net/reactor.h
+++ b/src/libs/net/reactor.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "scheduler.h"
+
 #include <utils/result.h>
-#include <utils/timepoint.h>
 
 #include <functional>
 #include <memory>
@@ -17,23 +18,20 @@
 };
 
 /// The process's one event loop: descriptors and timers on an ACE epoll reactor, one thread.
-class Reactor
+class Reactor : public Scheduler
 {
 public:
-    using TimerId = long;
     using ReadyCallback = std::function<void(Interest ready)>;
 
     static auto create() -> Utils::Result<std::unique_ptr<Reactor>, std::string>;
-    ~Reactor();
+    ~Reactor() override;
 
     /// Calls `callback` while `fd` is ready; a second call for the same `fd` replaces the first.
     auto watch(int fd, Interest interest, ReadyCallback callback) -> void;
     auto unwatch(int fd) -> void;
-    /// Calls `callback` once after `delay`.
-    auto callAfter(Utils::Duration delay, std::function<void()> callback) -> TimerId;
-    /// Harmless for a timer that has fired already.
-    auto cancel(TimerId timer) -> void;
-    auto now() const -> Utils::TimePoint;
+    auto callAfter(Utils::Duration delay, std::function<void()> callback) -> TimerId override;
+    auto cancel(TimerId timer) -> void override;
+    auto now() const -> Utils::TimePoint override;
     auto run() -> void;
     auto stop() -> void;
     /// Lets `run` be called again after `stop`.
--- a/tests/auto/gateway/tst_freshnesswatch.cpp
+++ b/tests/auto/gateway/tst_freshnesswatch.cpp
@@ -40,3 +40,30 @@
     watch.notePeer(3, start);
     EXPECT_FALSE(watch.isDue(5, start + 1s));
 }
+
+// Pattern: a slow link, on which each repeat delays the answers further.
+TEST(FreshnessWatch, RepeatsBecomeRarerUntilSomethingNewerIsKnown)
+{
+    FreshnessWatch watch(300ms);
+    watch.notePeer(7, start);
+    int repeats = 0;
+    for (auto passed = 0ms; passed <= 6s; passed += 25ms)
+        repeats += watch.isDue(5, start + passed) ? 1 : 0;
+    EXPECT_EQ(repeats, 5); // After 0.3, 0.6, 1.2, 2.4 and 4.8 s.
+    EXPECT_FALSE(watch.isDue(6, start + 6s));
+    EXPECT_FALSE(watch.isDue(6, start + 6s + 250ms));
+    EXPECT_TRUE(watch.isDue(6, start + 6s + 300ms));
+}
+
+TEST(FreshnessWatch, AnswersThatUsuallyTakeLongAreWaitedFor)
+{
+    FreshnessWatch watch(300ms);
+    watch.noteAnswerTime(500ms);
+    watch.notePeer(7, start);
+    EXPECT_FALSE(watch.isDue(5, start));
+    EXPECT_FALSE(watch.isDue(5, start + 900ms));
+    EXPECT_TRUE(watch.isDue(5, start + 1s));
+    watch.noteAnswerTime(4ms);
+    EXPECT_FALSE(watch.isDue(5, start + 1200ms));
+    EXPECT_TRUE(watch.isDue(5, start + 1300ms));
+}
--- /dev/null
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -0,0 +1,240 @@
+// A copy of a table over a store whose answers are slow, lost, or overtaken by newer rows.
+
+#include "../shared/slowrowstore.h"
+#include "../shared/virtualscheduler.h"
+
+#include <gateway/freshnesswatch.h>
+#include <gateway/gatewayconstants.h>
+#include <gateway/tablefollower.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using Gateway::FreshnessWatch;
+using Gateway::Row;
+using Gateway::StoreError;
+using Gateway::TableFollower;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A follower beside peers that know each row as soon as it is written.
+class Followed
+{
+public:
+    explicit Followed(std::chrono::milliseconds gatherPause = 0ms)
+        : store(scheduler)
+        , m_follower(scheduler, store, "table", gatherPause, events())
+        , m_watch(Gateway::Constants::ConfigurationPatience)
+    { }
+
+    auto start() -> void
+    {
+        m_follower.start();
+        look();
+    }
+    auto pass(Utils::Duration duration) -> void { scheduler.pass(duration); }
+    auto newestRow() const -> std::uint64_t { return m_follower.newestRow(); }
+    auto hurry() -> void { m_follower.hurry(); }
+    /// True if the copy is the table as it is now.
+    auto isCurrent() const -> bool
+    {
+        if (copy.size() != store.rows().size())
+            return false;
+        return std::all_of(store.rows().begin(), store.rows().end(), [this](const auto &item) {
+            const auto found = copy.find(item.first);
+            return found != copy.end() && found->second == item.second.value;
+        });
+    }
+
+    VirtualScheduler scheduler;
+    SlowRowStore store;
+    std::map<std::string, std::string> copy;
+    std::vector<std::uint64_t> versions; ///< Of the rows written, as they were taken.
+    int hurries = 0;
+    int losses = 0;
+
+private:
+    auto events() -> TableFollower::Events
+    {
+        TableFollower::Events result;
+        result.onRow = [this](const Row &row) {
+            if (row.isRemoved) {
+                copy.erase(row.key);
+                return;
+            }
+            versions.push_back(row.version);
+            copy[row.key] = row.value;
+        };
+        result.onCaughtUp = [] {};
+        result.onLost = [this](StoreError) { ++losses; };
+        result.onRegained = [] {};
+        return result;
+    }
+
+    /// As the gateway does each few milliseconds.
+    auto look() -> void
+    {
+        m_watch.notePeer(store.version(), scheduler.now());
+        if (m_watch.isDue(m_follower.newestRow(), scheduler.now())) {
+            ++hurries;
+            m_follower.hurry();
+        }
+        scheduler.callAfter(25ms, [this] { look(); });
+    }
+
+    TableFollower m_follower;
+    FreshnessWatch m_watch;
+};
+
+} // namespace
+
+// Pattern: a gateway on a slow link or processor; each answer takes longer than the time after
+// which the question counts as swallowed, and other gateways always know a newer row.
+TEST(TableFollower, LearnsFromAnswersThatTakeLongerThanItsPatience)
+{
+    for (const auto answerTime : {350ms, 700ms, 1500ms, 2500ms}) {
+        Followed followed;
+        followed.store.put("config", "0");
+        followed.start();
+        followed.pass(2s);
+        ASSERT_TRUE(followed.isCurrent());
+        followed.store.answerTime = answerTime;
+        for (int i = 1; i <= 60; ++i) {
+            followed.store.put("config", std::to_string(i));
+            followed.pass(500ms);
+            // A version is known after one question and its answer at most.
+            constexpr std::uint64_t perQuestion = 12;
+            EXPECT_GE(followed.newestRow() + perQuestion, followed.store.version())
+                << answerTime.count();
+        }
+        followed.pass(answerTime + 100ms);
+        EXPECT_TRUE(followed.isCurrent()) << answerTime.count();
+    }
+}
+
+// Pattern: the same while the follower still reads the table for the first time.
+TEST(TableFollower, FirstReadIsNotStartedOverWhileItsAnswerIsOnTheWay)
+{
+    Followed followed;
+    followed.store.answerTime = 1200ms;
+    followed.store.put("a", "1");
+    followed.start();
+    for (int i = 0; i < 8; ++i) {
+        followed.store.put("b", std::to_string(i));
+        followed.pass(300ms);
+    }
+    EXPECT_GT(followed.newestRow(), 0U);
+}
+
+// Pattern: a silent store swallows a question; it is asked again soon, and again if need be.
+TEST(TableFollower, SwallowedQuestionsAreAskedAgain)
+{
+    Followed followed;
+    followed.store.put("config", "0");
+    followed.start();
+    followed.pass(1s);
+    followed.store.swallows = true;
+    followed.hurry();
+    followed.store.put("config", "1");
+    followed.pass(400ms);
+    followed.store.swallows = false;
+    followed.pass(800ms);
+    EXPECT_TRUE(followed.isCurrent());
+}
+
+TEST(TableFollower, RepeatsBecomeRarerWhileNoAnswerComes)
+{
+    Followed followed;
+    followed.store.put("config", "0");
+    followed.start();
+    followed.pass(1s);
+    followed.store.answerTime = 2500ms;
+    followed.store.put("config", "1");
+    const int before = followed.store.calls();
+    followed.pass(2400ms);
+    EXPECT_LE(followed.store.calls() - before, 4);
+    followed.pass(200ms);
+    EXPECT_TRUE(followed.isCurrent());
+}
+
+TEST(TableFollower, AnswersToOlderQuestionsNeitherGoBackNorAddQuestions)
+{
+    Followed followed;
+    followed.store.put("config", "0");
+    followed.start();
+    followed.pass(1s);
+    followed.store.answerTime = 2000ms;
+    followed.store.put("config", "1");
+    followed.pass(100ms);
+    followed.store.answerTime = 4ms;
+    followed.hurry();
+    followed.store.put("config", "2");
+    followed.pass(10s);
+    EXPECT_TRUE(followed.isCurrent());
+    EXPECT_TRUE(std::is_sorted(followed.versions.begin(), followed.versions.end()));
+    const int before = followed.store.calls();
+    followed.pass(25s);
+    EXPECT_LE(followed.store.calls() - before, 11);
+}
+
+TEST(TableFollower, ForgottenHistoryIsReadAnewWithWhatWasRemoved)
+{
+    Followed followed;
+    followed.store.put("a", "1");
+    followed.store.put("b", "1");
+    followed.start();
+    followed.pass(1s);
+    followed.store.historyIsGone = true;
+    followed.hurry();
+    followed.store.drop("a");
+    followed.pass(100ms);
+    followed.store.historyIsGone = false;
+    followed.pass(1s);
+    EXPECT_TRUE(followed.isCurrent());
+}
+
+// Whatever the store's answer times, losses and the follower's haste, the copy never goes back and
+// is the table again soon after the store is well.
+TEST(TableFollower, CopyIsCurrentSoonAfterTheStoreIsWell)
+{
+    rc::check([] {
+        Followed followed(*rc::gen::element(0ms, 600ms));
+        followed.store.put("k0", "0");
+        followed.start();
+        const int steps = *rc::gen::inRange(1, 40);
+        for (int i = 0; i < steps; ++i) {
+            const std::string key = "k" + std::to_string(*rc::gen::inRange(0, 4));
+            switch (*rc::gen::inRange(0, 7)) {
+            case 0:
+                followed.store.swallows = !followed.store.swallows;
+                break;
+            case 1:
+                followed.store.historyIsGone = !followed.store.historyIsGone;
+                break;
+            case 2:
+                followed.store.drop(key);
+                break;
+            case 3:
+                followed.hurry();
+                break;
+            case 4:
+                followed.store.answerTime =
+                    std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
+                break;
+            default:
+                followed.store.put(key, std::to_string(i));
+            }
+            followed.pass(std::chrono::milliseconds(*rc::gen::inRange(0, 1500)));
+        }
+        followed.store.swallows = false;
+        followed.store.historyIsGone = false;
+        followed.store.answerTime = 4ms;
+        followed.store.put("last", "1");
+        followed.pass(5s);
+        RC_ASSERT(followed.isCurrent());
+        RC_ASSERT(std::is_sorted(followed.versions.begin(), followed.versions.end()));
+    });
+}
--- /dev/null
+++ b/tests/auto/shared/slowrowstore.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <gateway/rowstore.h>
+#include <net/scheduler.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+/// One table whose answers take a time that the test sets, or never come.
+class SlowRowStore : public Gateway::RowStore
+{
+public:
+    explicit SlowRowStore(Net::Scheduler &scheduler)
+        : m_scheduler(scheduler)
+    { }
+
+    std::chrono::milliseconds answerTime{4}; ///< Of the answers to questions of now on.
+    bool swallows = false; ///< Questions of now on get no answer; the client gives them up.
+    bool historyIsGone = false; ///< Questions for changes are told so.
+
+    auto put(const std::string &key, const std::string &value) -> std::uint64_t
+    {
+        m_rows[key] = {key, value, ++m_version, false};
+        m_history.push_back(m_rows[key]);
+        wakeWaiting();
+        return m_version;
+    }
+    auto drop(const std::string &key) -> std::uint64_t
+    {
+        m_rows.erase(key);
+        m_history.push_back({key, {}, ++m_version, true});
+        wakeWaiting();
+        return m_version;
+    }
+    auto version() const -> std::uint64_t { return m_version; }
+    auto rows() const -> const std::map<std::string, Gateway::Row> & { return m_rows; }
+    auto calls() const -> int { return m_calls; }
+
+    auto list(const std::string &, const std::string &from, RowsCallback done) -> void override
+    {
+        ++m_calls;
+        if (swallows)
+            return giveUp(std::chrono::milliseconds(0), std::move(done));
+        Gateway::RowSet set;
+        for (auto it = m_rows.lower_bound(from); it != m_rows.end(); ++it)
+            set.rows.push_back(it->second);
+        set.version = m_version;
+        answer(std::move(set), std::move(done));
+    }
+
+    auto changes(const std::string &, std::uint64_t after, std::chrono::milliseconds wait,
+                 RowsCallback done) -> void override
+    {
+        ++m_calls;
+        if (swallows)
+            return giveUp(wait, std::move(done));
+        if (historyIsGone) {
+            m_scheduler.callAfter(answerTime, [done = std::move(done)] {
+                done(tl::unexpected(Gateway::StoreError::HistoryGone));
+            });
+            return;
+        }
+        if (m_version > after)
+            return answer(changesAfter(after), std::move(done));
+        const int id = m_nextWaiting++;
+        m_waiting[id] = {after, std::move(done)};
+        m_scheduler.callAfter(wait, [this, id] { endWaiting(id); });
+    }
+
+    auto write(const std::string &, const std::string &, std::uint64_t, const std::string &,
+               WriteCallback) -> void override
+    { }
+    auto remove(const std::string &, const std::string &, std::uint64_t, WriteCallback)
+        -> void override
+    { }
+
+private:
+    struct Waiting
+    {
+        std::uint64_t after = 0;
+        RowsCallback done;
+    };
+
+    auto changesAfter(std::uint64_t after) const -> Gateway::RowSet
+    {
+        Gateway::RowSet set;
+        for (const Gateway::Row &row : m_history) {
+            if (row.version > after)
+                set.rows.push_back(row);
+        }
+        set.version = m_version;
+        return set;
+    }
+
+    auto answer(Gateway::RowSet set, RowsCallback done) -> void
+    {
+        m_scheduler.callAfter(answerTime, [set = std::move(set), done = std::move(done)] {
+            done(set);
+        });
+    }
+
+    /// As the client ends a call that gets no answer.
+    auto giveUp(std::chrono::milliseconds wait, RowsCallback done) -> void
+    {
+        constexpr std::chrono::milliseconds clientPatience(1500);
+        m_scheduler.callAfter(wait + clientPatience, [done = std::move(done)] {
+            done(tl::unexpected(Gateway::StoreError::Unavailable));
+        });
+    }
+
+    auto endWaiting(int id) -> void
+    {
+        auto node = m_waiting.extract(id);
+        if (!node.empty())
+            answer(changesAfter(node.mapped().after), std::move(node.mapped().done));
+    }
+
+    auto wakeWaiting() -> void
+    {
+        while (!m_waiting.empty())
+            endWaiting(m_waiting.begin()->first);
+    }
+
+    Net::Scheduler &m_scheduler;
+    std::uint64_t m_version = 0;
+    std::map<std::string, Gateway::Row> m_rows;
+    std::vector<Gateway::Row> m_history;
+    std::map<int, Waiting> m_waiting;
+    int m_nextWaiting = 1;
+    int m_calls = 0;
+};
