Servers that leave or want a pause are left alone; bytes without end are cut off

An engine says in its answers that it leaves, or adds Retry-After to a 503; both were dropped in the adapter. BackendBoard now remembers the word of an incarnation whatever the list says, over a lapse of its entry too; gateways tell each other (LeavingWatch). A server that wants a pause gets nothing until its end; a plain request that can't be served before it waits too long is refused at once with that time.

Bytes without end: a connection that always had more to read kept the event loop from its timers; interim answers and answers to nobody were skipped without end; a plain answer was collected up to 64 MB and an event of a stream without bound. All are bounded now, the connection is closed and the server counts as failed. Heads were bounded before.

Shown: eight tests fail with the bounds raised and the server's word ignored (Floods 2 to 6, EventWithoutEnd, ServerThatSaysItLeaves, ServerThatWantsAPause), all pass with them.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -1,5 +1,6 @@
 #include "backendattempt.h"
 
+#include "backendboard.h"
 #include "connectionpool.h"
 #include "gatewayconstants.h"
 #include "gatewaycontext.h"
@@ -13,6 +14,7 @@
 {
     GatewayContext *context = nullptr;
     std::string backendId;
+    std::int64_t startedAtMs = 0; ///< Of the server.
     std::string attemptId;
     Events events;
     std::unique_ptr<Http1::ClientConnection> connection;
@@ -26,6 +28,7 @@
         // An answer to an earlier request may come late, where this one's is due.
         if (!answer.attemptId.empty() && answer.attemptId != attemptId)
             return false;
+        noteOwnWord(answer);
         if (answer.idleTimeout) {
             // Leave half of the stated time for clocks and the way.
             idleTimeout = std::min<Utils::Duration>(idleTimeout, *answer.idleTimeout / 2);
@@ -35,6 +38,17 @@
         return true;
     }
 
+    /// What the server says of itself, unless another one has its address.
+    auto noteOwnWord(const BackendAnswer &answer) -> void
+    {
+        if (answer.isOtherServer && answer.otherServerId && *answer.otherServerId != backendId)
+            return;
+        if (answer.isLeaving && context->onLeaving)
+            context->onLeaving(backendId, startedAtMs);
+        if (answer.pause)
+            context->board.notePause(backendId, context->reactor.now() + *answer.pause);
+    }
+
     auto end(AttemptEnd how) -> void
     {
         if (ended)
@@ -90,6 +104,7 @@
     auto data = std::make_shared<Private>();
     data->context = &context;
     data->backendId = server.id;
+    data->startedAtMs = server.startedAtMs;
     data->attemptId = attemptId;
     data->events = std::move(events);
     std::unique_ptr<BackendAttempt> attempt(new BackendAttempt(data));
--- a/src/libs/gateway/backendboard.cpp
+++ b/src/libs/gateway/backendboard.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Servers whose word is remembered after they have gone; some thousands end in a day.
+constexpr size_t MostSaidLeaving = 4096;
+
 /// Order numbers of one incarnation grow; those of different ones say nothing of each other.
 auto isOlder(const BackendServer &left, const BackendServer &right) -> bool
 {
@@ -42,7 +45,7 @@
 {
     const auto found = m_entries.find(server.id);
     if (found == m_entries.end()) {
-        m_entries[server.id].server = server;
+        m_entries[server.id].server = withOwnWord(server);
         return true;
     }
     Entry &entry = found->second;
@@ -53,13 +56,13 @@
         entry = Entry();
         entry.inFlight = inFlight;
         entry.avoidedUntil = now;
-        entry.server = server;
+        entry.server = withOwnWord(server);
         return true;
     }
     const bool keepsModels = isOlder(server, entry.server);
     const auto models = entry.server.models;
     const auto orders = entry.server.ordersAccepted;
-    entry.server = server;
+    entry.server = withOwnWord(server);
     if (keepsModels) {
         entry.server.models = models;
         entry.server.ordersAccepted = orders;
@@ -107,6 +110,54 @@
         held->second.erase(adapter);
 }
 
+auto BackendBoard::withOwnWord(const BackendServer &server) const -> BackendServer
+{
+    BackendServer result = server;
+    const auto said = m_saidLeaving.find(server.id);
+    if (said != m_saidLeaving.end() && said->second == server.startedAtMs)
+        result.isLeaving = true;
+    return result;
+}
+
+auto BackendBoard::noteLeaving(const std::string &id, std::int64_t startedAtMs) -> bool
+{
+    const auto [said, isNew] = m_saidLeaving.emplace(id, startedAtMs);
+    if (!isNew && said->second >= startedAtMs)
+        return false;
+    said->second = startedAtMs;
+    if (m_saidLeaving.size() > MostSaidLeaving) {
+        m_saidLeaving.erase(std::min_element(
+            m_saidLeaving.begin(), m_saidLeaving.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; }));
+    }
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end() && found->second.server.startedAtMs == startedAtMs)
+        found->second.server.isLeaving = true;
+    return true;
+}
+
+auto BackendBoard::notePause(const std::string &id, TimePoint until) -> void
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end())
+        found->second.pausedUntil = std::max(found->second.pausedUntil, until);
+}
+
+auto BackendBoard::pauseEnd(const BackendNeed &need, TimePoint now) const
+    -> std::optional<TimePoint>
+{
+    std::optional<TimePoint> first;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.server.service != need.service || entry.server.isLeaving
+            || need.excluded.count(id) > 0 || !holds(entry, need))
+            continue;
+        if (entry.pausedUntil <= now)
+            return {};
+        first = std::min(first.value_or(entry.pausedUntil), entry.pausedUntil);
+    }
+    return first;
+}
+
 auto BackendBoard::holds(const Entry &entry, const BackendNeed &need) const -> bool
 {
     if (need.model.empty())
@@ -137,7 +188,8 @@
     for (const auto &[id, entry] : m_entries) {
         const BackendServer &server = entry.server;
         if (server.service != need.service || server.isLeaving || need.excluded.count(id) > 0
-            || entry.ejectedUntil > now || entry.avoidedUntil > now || !holds(entry, need))
+            || entry.ejectedUntil > now || entry.avoidedUntil > now || entry.pausedUntil > now
+            || !holds(entry, need))
             continue;
         const double load = loadOf(entry, now);
         const int capacity = capacityOf(entry);
--- a/src/libs/gateway/backendboard.h
+++ b/src/libs/gateway/backendboard.h
@@ -52,6 +52,15 @@
     /// What an engine itself reports of its models; ignored if it is older than what is known.
     auto takeReport(const std::string &id, const EngineReport &report) -> void;
     auto takeLoad(const std::string &id, const BackendLoad &load, Utils::TimePoint now) -> void;
+    /// A server said that it leaves: nothing new goes to that incarnation, whatever the list says.
+    /// True if that was not known.
+    auto noteLeaving(const std::string &id, std::int64_t startedAtMs) -> bool;
+    /// A server wants no requests of this gateway until then.
+    auto notePause(const std::string &id, Utils::TimePoint until) -> void;
+    /// When the first of the servers that a request may use ends its pause; nothing if one of them
+    /// has no pause, or there is none.
+    auto pauseEnd(const BackendNeed &need, Utils::TimePoint now) const
+        -> std::optional<Utils::TimePoint>;
     /// An engine said that it doesn't hold the model or adapter.
     auto noteMissing(const std::string &id, const std::string &model, const std::string &adapter)
         -> void;
@@ -82,10 +91,13 @@
         int ejections = 0;
         Utils::TimePoint ejectedUntil;
         Utils::TimePoint avoidedUntil;
+        Utils::TimePoint pausedUntil; ///< By its own word.
         int reportedOthers = 0; ///< Requests of other gateways when the server last told.
         Utils::TimePoint reportedAt;
     };
 
+    /// The list's entry, with what the server itself said.
+    auto withOwnWord(const BackendServer &server) const -> BackendServer;
     auto holds(const Entry &entry, const BackendNeed &need) const -> bool;
     auto mayEject(const std::string &service, Utils::TimePoint now) const -> bool;
     auto loadOf(const Entry &entry, Utils::TimePoint now) const -> double;
@@ -94,6 +106,9 @@
     std::string m_failureDomain;
     int m_gateways = 1;
     std::map<std::string, Entry> m_entries;
+    /// Start of the newest incarnation that said it leaves, also of servers that are listed no more:
+    /// an entry may lapse and come back.
+    std::map<std::string, std::int64_t> m_saidLeaving;
     std::map<std::string, int> m_capacity;
 };
 
--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -2,6 +2,7 @@
 
 #include "backendattempt.h"
 #include "backendboard.h"
+#include "gatewayconstants.h"
 #include "gatewaycontext.h"
 
 #include <net/reactor.h>
@@ -309,7 +310,11 @@
     };
     BackendAttempt::Events events;
     events.onHead = [this](const BackendAnswer &answer) { m_callStatus = answer.status; };
-    events.onBody = [this](std::string_view data) { m_callBody += data; };
+    // What is longer than a report can be is left unread until the call times out.
+    events.onBody = [this](std::string_view data) {
+        if (m_callBody.size() + data.size() <= Constants::MostAnswerBytes)
+            m_callBody += data;
+    };
     events.onEnd = [finish](AttemptEnd how) { finish(how == AttemptEnd::Complete); };
     m_callTimer = m_context.reactor.callAfter(CallTimeout, [finish] { finish(false); });
     m_call = BackendAttempt::start(m_context, *server, m_context.wire.formatReportCall(m_id), {},
--- a/src/libs/gateway/eventsplitter.h
+++ b/src/libs/gateway/eventsplitter.h
@@ -21,8 +21,10 @@
 {
 public:
     auto feed(std::string_view data) -> std::vector<StreamEvent>;
-    /// Bytes of an event that has not ended.
+    /// True if an event has not ended.
     auto hasRest() const -> bool { return !m_rest.empty(); }
+    /// Bytes of the event that has not ended.
+    auto restBytes() const -> size_t { return m_rest.size(); }
     auto clear() -> void { m_rest.clear(); }
 
 private:
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -62,6 +62,10 @@
 /// latency objective, and no longer than a few ways there and back.
 constexpr int QuotaWaitDivisor = 8;
 constexpr std::chrono::milliseconds LongestQuotaWait(40);
+/// Largest answer that is collected before it is passed on, and largest event of a stream; a server
+/// that sends more is failing. Answers are a few kilobytes, and many are under way at once.
+constexpr size_t MostAnswerBytes = 2 << 20;
+constexpr size_t MostEventBytes = 256 << 10;
 /// Retry-After when nothing better is known: about the time of a swap of models.
 constexpr std::chrono::milliseconds DefaultRetryAfter(500);
 /// Longest Retry-After; by then demand has changed more than anyone can foresee.
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -10,6 +10,7 @@
 #include "gatewayconstants.h"
 #include "gatewaycontext.h"
 #include "gatewaysettings.h"
+#include "leavingwatch.h"
 #include "peerlink.h"
 #include "placementduty.h"
 #include "questionserver.h"
@@ -78,6 +79,13 @@
     GatewayContext context;
     CrashWatch crashWatch{context.crashSuspects,
                           [this](const nlohmann::json &message) { tellOthers(message); }};
+    LeavingWatch leavingWatch{
+        board,
+        {[this](const nlohmann::json &message) { tellOthers(message); },
+         [this](const std::string &id) {
+             pool.forget(id);
+             waiting.wake();
+         }}};
     int gateways = 1;
 
     std::unique_ptr<TableFollower> configurationFollower;
@@ -125,7 +133,8 @@
             reactor, settings.peerAddress,
             [this](const nlohmann::json &message, const Http1::SocketAddress &sender) {
                 if (!exchange->takeMessage(message, sender)
-                    && !crashWatch.takeMessage(message, reactor.now()))
+                    && !crashWatch.takeMessage(message, reactor.now())
+                    && !leavingWatch.takeMessage(message))
                     placement->takeMessage(message, sender);
             });
         if (!peers)
@@ -350,6 +359,9 @@
         return Routing::RetryBudget(d->settings.retryRatio * Constants::RetryBudgetUse,
                                     std::max(1.0, d->settings.retrySlack * share));
     };
+    d->context.onLeaving = [d](const std::string &backendId, std::int64_t startedAtMs) {
+        d->leavingWatch.noteAnswer(backendId, startedAtMs);
+    };
     d->context.onSuspect = [d](const std::string &backendId, const std::string &fingerprint) {
         const BackendServer *server = d->board.find(backendId);
         d->crashWatch.noteLost(backendId, server ? server->startedAtMs : 0, fingerprint,
--- /dev/null
+++ b/src/libs/gateway/leavingwatch.cpp
@@ -0,0 +1,49 @@
+#include "leavingwatch.h"
+
+#include "backendboard.h"
+
+#include <utils/eventlog.h>
+#include <utils/jsonfield.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Gateway {
+
+namespace {
+
+const char *const LeavingKind = "leaving";
+
+} // namespace
+
+LeavingWatch::LeavingWatch(BackendBoard &board, Events events)
+    : m_board(board)
+    , m_events(std::move(events))
+{ }
+
+auto LeavingWatch::noteAnswer(const std::string &id, std::int64_t startedAtMs) -> void
+{
+    if (note(id, startedAtMs, "answer"))
+        m_events.tellOthers({{"kind", LeavingKind}, {"server", id}, {"started", startedAtMs}});
+}
+
+auto LeavingWatch::takeMessage(const nlohmann::json &message) -> bool
+{
+    if (Utils::fieldOr(message, "kind", std::string()) != LeavingKind)
+        return false;
+    const auto id = Utils::fieldOr(message, "server", std::string());
+    if (!id.empty())
+        note(id, Utils::fieldOr(message, "started", std::int64_t(0)), "gateway");
+    return true;
+}
+
+auto LeavingWatch::note(const std::string &id, std::int64_t startedAtMs, const char *source) -> bool
+{
+    if (!m_board.noteLeaving(id, startedAtMs))
+        return false;
+    Utils::logEvent(Utils::Event::BackendLeaving,
+                    {{"server", id}, {"startedAtMs", startedAtMs}, {"source", source}});
+    m_events.onLeaving(id);
+    return true;
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -50,6 +50,11 @@
         relay(data);
     else
         m_body += data;
+    const bool isEndless = m_attempt
+        && (m_body.size() > Constants::MostAnswerBytes
+            || m_splitter.restBytes() > Constants::MostEventBytes);
+    if (isEndless)
+        takeEnd(AttemptEnd::Broken);
 }
 
 /// Passes on whole events in order, each once.
@@ -252,15 +257,9 @@
     if (mayHaveArrived && m_ranAt + 1 >= m_route->mostServers)
         return;
     // Without another server the silent one is still the best hope.
-    BackendNeed need;
-    need.service = m_service;
-    if (m_needsModel) {
-        need.model = m_request.model;
-        need.adapter = m_request.adapter;
-    }
-    need.excluded = m_triedServers;
-    need.excluded.insert(m_attempt->backendId());
-    if (!m_context.board.choose(need, m_context.reactor.now()) || !takeRetry("silence"))
+    BackendNeed others = need();
+    others.excluded.insert(m_attempt->backendId());
+    if (!m_context.board.choose(others, m_context.reactor.now()) || !takeRetry("silence"))
         return;
     if (mayHaveArrived)
         ++m_ranAt;
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -182,6 +182,7 @@
                 flow->handleTimeUp();
         });
     const auto mostWait = duration_cast<Duration>(total * Constants::WaitingShare);
+    m_waitEnd = m_arrivedAt + mostWait;
     m_waitTimer = m_context.reactor.callAfter(mostWait, [weak] {
         if (const auto flow = weak.lock())
             flow->handleWaitOver();
@@ -190,7 +191,7 @@
 
 auto RequestFlow::waitForServer() -> void
 {
-    if (m_isDone || m_isWaiting)
+    if (m_isDone || m_isWaiting || refuseIfAllPause())
         return;
     m_isWaiting = true;
     const WaitingRank rank = {m_customer ? m_customer->priority : 0, m_route->priority,
@@ -202,6 +203,19 @@
     m_context.onModelWanted();
 }
 
+/// Servers that want nothing for longer than the request may wait will not serve it. A model may
+/// still come to another engine.
+auto RequestFlow::refuseIfAllPause() -> bool
+{
+    if (m_needsModel)
+        return false;
+    const auto pauseEnd = m_context.board.pauseEnd(need(), m_context.reactor.now());
+    if (!pauseEnd || *pauseEnd < m_waitEnd)
+        return false;
+    refuse(m_ranAt > 0 ? RefusalReason::BackendFailed : RefusalReason::NoBackendServer);
+    return true;
+}
+
 auto RequestFlow::stopWaiting() -> void
 {
     if (!m_isWaiting)
@@ -237,6 +251,15 @@
         callerGone();
         return true;
     }
+    const auto id = m_context.board.choose(need(), m_context.reactor.now());
+    if (!id)
+        return false;
+    send(*m_context.board.find(*id));
+    return true;
+}
+
+auto RequestFlow::need() const -> BackendNeed
+{
     BackendNeed need;
     need.service = m_service;
     if (m_needsModel) {
@@ -246,11 +269,7 @@
     if (m_route->hasPromptParts && !m_request.promptParts.empty())
         need.affinity = m_request.modelName() + m_request.promptParts.front().id;
     need.excluded = m_triedServers;
-    const auto id = m_context.board.choose(need, m_context.reactor.now());
-    if (!id)
-        return false;
-    send(*m_context.board.find(*id));
-    return true;
+    return need;
 }
 
 auto RequestFlow::send(const BackendServer &server) -> void
@@ -335,9 +354,14 @@
         return std::clamp(duration_cast<milliseconds>(needed), Constants::DefaultRetryAfter,
                           Constants::LongestRetryAfter);
     }
+    case RefusalReason::NoBackendServer: {
+        const auto now = m_context.reactor.now();
+        const auto pauseEnd = m_context.board.pauseEnd(need(), now).value_or(now);
+        return std::clamp(duration_cast<milliseconds>(pauseEnd - now),
+                          Constants::DefaultRetryAfter, Constants::LongestRetryAfter);
+    }
     case RefusalReason::NotFresh:
     case RefusalReason::Draining:
-    case RefusalReason::NoBackendServer:
     case RefusalReason::LoadFailed:
         return Constants::DefaultRetryAfter;
     default:
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -52,6 +52,7 @@
     auto pickService() -> void;
     auto startClock() -> void;
     auto waitForServer() -> void;
+    auto refuseIfAllPause() -> bool;
     auto stopWaiting() -> void;
     auto trySend() -> bool;
     auto send(const BackendServer &server) -> void;
@@ -75,6 +76,7 @@
     auto retryAfter(Admission::RefusalReason reason) -> std::optional<std::chrono::milliseconds>;
     auto finish() -> void;
     auto release() -> void;
+    auto need() const -> BackendNeed;
     auto timeLeft() const -> Utils::Duration;
     auto logOutcome(int status, const char *outcome) -> void;
 
@@ -93,6 +95,7 @@
 
     Utils::TimePoint m_arrivedAt;
     Utils::TimePoint m_deadline;
+    Utils::TimePoint m_waitEnd; ///< A request that can't be sent by then is refused.
     Net::Reactor::TimerId m_deadlineTimer = 0;
     Net::Reactor::TimerId m_waitTimer = 0;
     Net::Reactor::TimerId m_quotaTimer = 0;
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -75,6 +75,8 @@
     bool isNotRun = false; ///< The server says that it has not run the request.
     bool isSigned = false; ///< It bears a server's signature.
     bool isOtherServer = false; ///< Another incarnation has the address, or the model isn't there.
+    bool isLeaving = false; ///< The server is about to end and wants no new requests.
+    std::optional<std::chrono::milliseconds> pause; ///< It wants no requests of this gateway so long.
     bool isEncoded = false; ///< Not the body that the server made.
     std::optional<std::string> otherServerId;
     std::optional<BackendLoad> load;
--- a/src/libs/http1/clientconnection.cpp
+++ b/src/libs/http1/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "clientconnection.h"
 
+#include "http1constants.h"
 #include "messagereader.h"
 
 #include <net/reactor.h>
@@ -15,6 +16,8 @@
     bool inCall = false;
     bool reusable = true;
     bool skipping = false;
+    int skippedAnswers = 0; ///< In the current call.
+    size_t skippedBytes = 0;
     bool anyAnswerByte = false;
     bool sentBefore = false;
 
@@ -30,7 +33,9 @@
                 reusable = false;
         };
         readerEvents.onBody = [this](std::string_view data) {
-            if (!skipping && inCall)
+            if (skipping)
+                skippedBytes += data.size();
+            else if (inCall)
                 events.onBody(data);
         };
         readerEvents.onComplete = [] {};
@@ -50,11 +55,13 @@
             data.remove_prefix(reader->feed(data));
             if (!inCall)
                 return; // The owner dropped the call from a callback.
-            if (reader->error() != ReadError::None)
+            if (reader->error() != ReadError::None || skippedBytes > Constants::MostSkippedBytes)
                 return endCall(CallEnd::Broken);
             if (!reader->isComplete())
                 continue;
             reader->reset();
+            if (skipping && ++skippedAnswers > Constants::MostSkippedAnswers)
+                return endCall(CallEnd::Broken);
             if (!skipping) {
                 // A request that is not out entirely would be continued by the next call's bytes.
                 if (!data.empty() || stream->unsentBytes() > 0)
@@ -129,6 +136,8 @@
     d->events = std::move(events);
     d->inCall = true;
     d->skipping = false;
+    d->skippedAnswers = 0;
+    d->skippedBytes = 0;
     d->anyAnswerByte = false;
     d->sentBefore = d->stream->hasSent();
     d->stream->write(request);
--- a/src/libs/http1/http1constants.h
+++ b/src/libs/http1/http1constants.h
@@ -10,6 +10,13 @@
 constexpr size_t MostUnsentBytes = 4 << 20;
 /// Bytes taken from a socket at once; one read covers nearly every request and event.
 constexpr size_t ReadBlockBytes = 16 << 10;
+/// Blocks taken from one socket in a row; a peer that sends without end would else stop all others
+/// and the timers.
+constexpr int MostReadsInARow = 8;
+/// Answers to earlier calls and interim ones that are passed over before a call's own, and the bytes
+/// of their bodies; a peer that sends more is not answering.
+constexpr int MostSkippedAnswers = 8;
+constexpr size_t MostSkippedBytes = 1 << 20;
 /// Time for the peer to take the last answer before its connection is dropped.
 constexpr std::chrono::milliseconds LingerTime(1000);
 /// Unacknowledged data or keep-alive probes for this long end a connection; shorter than the time
--- a/src/libs/http1/tcpstream.cpp
+++ b/src/libs/http1/tcpstream.cpp
@@ -104,7 +104,7 @@
     {
         const auto keep = shared_from_this();
         std::array<char, Constants::ReadBlockBytes> block;
-        while (fd >= 0) {
+        for (int reads = 0; fd >= 0 && reads < Constants::MostReadsInARow; ++reads) {
             const auto count = ::recv(fd, block.data(), block.size(), 0);
             if (count < 0) {
                 if (errno == EINTR)
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -121,6 +121,8 @@
          "An entry, report or message could not be read and was left out."},
         {Event::BackendChanged, "backend-changed",
          "A backend server is new, restarted, leaving or back."},
+        {Event::BackendLeaving, "backend-leaving",
+         "A backend server said in an answer that it leaves; it gets nothing new."},
         {Event::GatewayGivenUp, "gateway-given-up",
          "A gateway was silent; the others share its part of the quotas."},
         {Event::StoreAskedAnew, "store-asked-anew",
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -29,6 +29,7 @@
     BackendGone = 210,
     StoreAskedAnew = 211,
     GatewayGivenUp = 212,
+    BackendLeaving = 213,
     RequestRefused = 300,
     RequestServed = 301,
     RequestRetried = 302,
--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -50,6 +50,50 @@
     EXPECT_FALSE(board.hasService("filing"));
 }
 
+// Pattern: an engine tells in its answers that it leaves; its entry says so late or never, and may
+// lapse and come back meanwhile.
+TEST(BackendBoard, ServerThatSaidItLeavesGetsNothingNewWhateverTheListSays)
+{
+    BackendBoard board("a");
+    const auto server = makeServer("s1");
+    board.update(server, start);
+    EXPECT_TRUE(board.noteLeaving("s1", server.startedAtMs));
+    EXPECT_FALSE(board.noteLeaving("s1", server.startedAtMs));
+    EXPECT_FALSE(board.choose(need(), start));
+    board.update(server, start);
+    EXPECT_FALSE(board.choose(need(), start));
+    board.remove("s1");
+    board.update(server, start);
+    EXPECT_FALSE(board.choose(need(), start));
+    EXPECT_FALSE(board.hasService("filing"));
+    auto next = server;
+    next.startedAtMs = 2;
+    board.update(next, start);
+    EXPECT_EQ(board.choose(need(), start), "s1");
+    EXPECT_FALSE(board.noteLeaving("s1", server.startedAtMs)) << "an older incarnation's word";
+    EXPECT_EQ(board.choose(need(), start), "s1");
+}
+
+// Pattern: a full engine refuses and says how long it wants nothing from this gateway.
+TEST(BackendBoard, ServerThatWantsAPauseGetsNothingUntilItsEnd)
+{
+    BackendBoard board("a");
+    board.update(makeServer("s1"), start);
+    board.update(makeServer("s2"), start);
+    board.notePause("s1", start + 2s);
+    EXPECT_FALSE(board.pauseEnd(need(), start));
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(board.choose(need(), start + 1s), "s2");
+        board.noteSent("s2");
+    }
+    EXPECT_FALSE(board.choose(need(), start + 1s)) << "not even when the other is full";
+    board.notePause("s2", start + 3s);
+    EXPECT_EQ(board.pauseEnd(need(), start), start + 2s);
+    board.notePause("s1", start + 1s);
+    EXPECT_EQ(board.pauseEnd(need(), start), start + 2s) << "a shorter one ends nothing";
+    EXPECT_EQ(board.choose(need(), start + 2s), "s1");
+}
+
 TEST(BackendBoard, EqualLoadPrefersTheOwnFailureDomain)
 {
     BackendBoard board("b");
--- a/tests/auto/http1/tst_connections.cpp
+++ b/tests/auto/http1/tst_connections.cpp
@@ -254,6 +254,47 @@
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 413"));
 }
 
+// Pattern: a caller sends bytes without end, in a head or a body, fast or drop by drop.
+TEST_F(Connections, RequestWithoutEndIsRefusedAndItsConnectionEnds)
+{
+    limits.message = {1024, 4096};
+    limits.headTimeout = 300ms;
+    const auto address = listenServer([](ServerConnection &, const RequestHead &) {});
+    const std::string chunked = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string opening;
+        std::string piece;
+        std::string status;
+    };
+    for (const Case &one : {Case{"GET /x HTTP/1.1\r\n", "X-More: 1\r\n", "431"},
+                            Case{chunked, "4\r\nmore\r\n", "413"}}) {
+        for (const size_t perPiece : {1U, 1000U}) {
+            auto client = std::move(*TcpStream::connect(*loop, address));
+            std::string answer;
+            bool ended = false;
+            client->setEvents({[&](std::string_view data) { answer += data; },
+                               [&](StreamEnd) { ended = true; }});
+            client->write(one.opening);
+            const auto begun = loop->now();
+            auto last = begun;
+            EXPECT_TRUE(spin([&] {
+                if (!ended && loop->now() - last > 20ms && client->unsentBytes() == 0) {
+                    last = loop->now();
+                    for (size_t i = 0; i < perPiece; ++i)
+                        client->write(one.piece);
+                }
+                return ended || answer.find("\r\n\r\n") != std::string::npos;
+            }));
+            EXPECT_LT(loop->now() - begun, 600ms);
+            const std::string expected = perPiece == 1 ? "408" : one.status;
+            // Closing with unread bytes may reset the connection before the answer is read.
+            EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 " + expected)) << answer;
+        }
+    }
+    EXPECT_TRUE(bodies.empty());
+}
+
 TEST_F(Connections, PipelinedRequestsAreAnsweredInOrder)
 {
     const auto address = listenServer([](ServerConnection &server, const RequestHead &head) {
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -163,6 +163,30 @@
     EXPECT_FALSE(answer.forwarded.has("Server-Load"));
 }
 
+TEST(Codecs, ServersSayThatTheyLeaveAndThatTheyWantAPause)
+{
+    Http1::ResponseHead head{503, {}, true};
+    EXPECT_FALSE(decodeAnswer(head).isLeaving);
+    EXPECT_FALSE(decodeAnswer(head).pause);
+    head.fields.add("Server-Leaving", "1");
+    head.fields.add("Retry-After", "1.25");
+    const auto answer = decodeAnswer(head);
+    EXPECT_TRUE(answer.isLeaving);
+    EXPECT_EQ(answer.pause, 1250ms);
+    EXPECT_FALSE(answer.forwarded.has("Server-Leaving"));
+    EXPECT_FALSE(answer.forwarded.has("Retry-After"));
+    head.status = 200;
+    EXPECT_FALSE(decodeAnswer(head).pause) << "only a refusal asks for a pause";
+    for (const char *text : {"soon", "-1", "0", "nan", ""}) {
+        Http1::ResponseHead faulty{503, {}, true};
+        faulty.fields.add("Retry-After", text);
+        EXPECT_FALSE(decodeAnswer(faulty).pause) << text;
+    }
+    Http1::ResponseHead endless{503, {}, true};
+    endless.fields.add("Retry-After", "inf");
+    EXPECT_EQ(decodeAnswer(endless).pause, 60s);
+}
+
 TEST(Codecs, OrdersAndReports)
 {
     Gateway::EngineOrder order;
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -5,6 +5,7 @@
 #include <gateway/gatewaysettings.h>
 #include <gateway/peerlink.h>
 #include <http1/clientconnection.h>
+#include <http1/tcplistener.h>
 #include <http1/tcpstream.h>
 #include <net/reactor.h>
 #include <platform/emulator/emulatedengine.h>
@@ -204,6 +205,12 @@
     Http1::SocketAddress peers; ///< Where the gateway takes datagrams.
 };
 
+/// What a server sends when it is asked, and then over and over.
+using Flood = std::pair<std::string, std::string>;
+
+class Floods : public Gateways, public testing::WithParamInterface<Flood>
+{ };
+
 const std::string m1 = "Model: m1\r\nToken-Count: 10,10\r\n";
 
 } // namespace
@@ -435,6 +442,144 @@
     EXPECT_EQ(ask(text("/file/x", "a9"))->status, 401);
 }
 
+// Pattern: an engine that leaves says so in its answers; the list still calls it ready.
+TEST_F(Gateways, ServerThatSaysItLeavesGetsNothingNew)
+{
+    auto &first = addEngine("i-1", "app");
+    auto &second = addEngine("i-2", "app");
+    first.behaviour.saysLeaving = second.behaviour.saysLeaving = true;
+    startReadyGateway();
+    EXPECT_EQ(ask(text("/look/x", "a0"))->status, 200);
+    auto &leaving = first.runs() == 1 ? first : second;
+    auto &other = first.runs() == 1 ? second : first;
+    other.behaviour.saysLeaving = false;
+    leaving.announce();
+    spin([] { return false; }, 700ms);
+    for (int i = 1; i < 6; ++i)
+        EXPECT_EQ(ask(text("/look/x", "a" + std::to_string(i)))->status, 200);
+    EXPECT_EQ(leaving.arrivals().size(), 1U);
+}
+
+TEST_F(Gateways, OneGatewaysWordOfALeavingServerIsEnough)
+{
+    auto &first = addEngine("i-1", "app");
+    addEngine("i-2", "app");
+    startReadyGateway();
+    const auto own = Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+    const auto link = std::move(*Gateway::PeerLink::open(*loop, *own, [](const auto &, auto) {}));
+    link->send(peers, {{"kind", "leaving"}, {"server", "i-1"}, {"started", 1}});
+    spin([] { return false; }, 50ms);
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(ask(text("/look/x", "a" + std::to_string(i)))->status, 200);
+    EXPECT_EQ(first.arrivals().size(), 0U);
+}
+
+// Pattern: engines are full and say for how long they want nothing.
+TEST_F(Gateways, ServerThatWantsAPauseIsLeftAloneAndItsCallersAreToldWhen)
+{
+    auto &engine = addEngine("i-1", "app");
+    engine.behaviour.sheds = true;
+    engine.behaviour.pause = "1.5";
+    startReadyGateway();
+    const auto begun = loop->now();
+    for (int i = 0; i < 5; ++i) {
+        const auto answer = ask(text("/file/x", "a" + std::to_string(i)));
+        EXPECT_EQ(answer->status, 503);
+        const double wait = std::stod(std::string(answer->fields.value("Retry-After").value_or("0")));
+        EXPECT_NEAR(wait, 1.5 - Utils::toSeconds(loop->now() - begun), 0.2);
+    }
+    EXPECT_LT(loop->now() - begun, 500ms) << "refused at once";
+    EXPECT_EQ(engine.arrivals().size(), 1U);
+    engine.behaviour.sheds = false;
+    spin([] { return false; }, 1500ms);
+    EXPECT_EQ(ask(text("/file/x", "b"))->status, 200);
+}
+
+// Pattern: a server in trouble sends bytes without end: in a head, in a body, or as answers to
+// nobody.
+TEST_P(Floods, AreCutOffAndTheServerCountsAsFailed)
+{
+    const auto &[opening, rest] = GetParam();
+    std::string unit;
+    while (unit.size() < 64 << 10)
+        unit += rest;
+    std::unique_ptr<Http1::TcpStream> peer;
+    bool asked = false;
+    bool closed = false;
+    const auto listener = std::move(*Http1::TcpListener::listen(
+        *loop, *Http1::SocketAddress::parse("127.0.0.1:0"),
+        [&](std::unique_ptr<Http1::TcpStream> stream) {
+            peer = std::move(stream);
+            peer->setEvents({[&](std::string_view) {
+                                 asked = true;
+                                 peer->write(opening);
+                             },
+                             [&](Http1::StreamEnd) { closed = true; }});
+        }));
+    auto &flooding = addEngine("i-1", "app");
+    flooding.advertisedAddress =
+        *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port()));
+    flooding.announce();
+    startReadyGateway();
+    auto answer = std::make_shared<Answer>();
+    callRaw(*answer, address, text("/file/x", "a1"));
+    size_t sent = 0;
+    const auto begun = loop->now();
+    spin([&] {
+        if (asked && !closed && peer->unsentBytes() < unit.size()) {
+            peer->write(unit);
+            sent += unit.size();
+        }
+        return answer->end.has_value();
+    });
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_LT(loop->now() - begun, 1s) << "long before the request's deadline";
+    EXPECT_LT(sent, 8U << 20);
+    EXPECT_TRUE(spin([&] { return closed; }, 500ms));
+    EXPECT_EQ(readinessStatus(), 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Gateways, Floods,
+    testing::Values(
+        Flood{"", "rubbish "}, Flood{"HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
+        Flood{"", "HTTP/1.1 102 Processing\r\n\r\n"},
+        Flood{"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n", "endless body "},
+        Flood{"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+              "4\r\nmore\r\n"},
+        Flood{"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n\r\n", "an answer to nobody "},
+        Flood{"", "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 2\r\n\r\nno"}));
+
+// Pattern: one event of a stream that never ends.
+TEST_F(Gateways, EventWithoutEndEndsTheStreamIncomplete)
+{
+    std::unique_ptr<Http1::TcpStream> peer;
+    bool closed = false;
+    const auto listener = std::move(*Http1::TcpListener::listen(
+        *loop, *Http1::SocketAddress::parse("127.0.0.1:0"),
+        [&](std::unique_ptr<Http1::TcpStream> stream) {
+            peer = std::move(stream);
+            peer->setEvents({[&](std::string_view) {
+                                 peer->write("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n"
+                                             "id: 1\ndata: x\n\nid: 2\ndata: ");
+                                 peer->write(std::string(1 << 20, 'y'));
+                             },
+                             [&](Http1::StreamEnd) { closed = true; }});
+        }));
+    auto &flooding = addEngine("i-1", "lm", {"m1"});
+    flooding.advertisedAddress =
+        *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port()));
+    flooding.announce();
+    startReadyGateway();
+    const auto begun = loop->now();
+    const auto answer = ask(text("/draft/x", "a1", m1));
+    EXPECT_LT(loop->now() - begun, 1s);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_FALSE(answer->isWhole());
+    EXPECT_EQ(events(answer->body), std::vector<int>{1});
+    EXPECT_TRUE(spin([&] { return closed; }, 500ms));
+}
+
 TEST_F(Gateways, HistoryThatIsGoneIsReadAnewWithWhatWasRemoved)
 {
     auto &first = addEngine("i-1", "app");
--- /dev/null
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -0,0 +1,131 @@
+// The store's client before a store whose answers are slow, endless, or break off.
+
+#include <http1/tcplistener.h>
+#include <http1/tcpstream.h>
+#include <net/reactor.h>
+#include <platform/rowstoreclient.h>
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Gateway::RowSet;
+using Gateway::StoreError;
+
+namespace {
+
+/// A store that sends the same piece each few milliseconds once it is asked.
+class RowStoreCalls : public testing::Test
+{
+protected:
+    auto SetUp() -> void override
+    {
+        loop = std::move(*Net::Reactor::create());
+        listener = std::move(*Http1::TcpListener::listen(
+            *loop, *Http1::SocketAddress::parse("127.0.0.1:0"),
+            [this](std::unique_ptr<Http1::TcpStream> stream) {
+                peer = std::move(stream);
+                peer->setEvents({[this](std::string_view) {
+                                     peer->write(opening);
+                                     sendMore();
+                                 },
+                                 [this](Http1::StreamEnd) { closed = true; }});
+            }));
+        client = std::make_unique<Platform::RowStoreClient>(
+            *loop,
+            *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port())));
+    }
+
+    auto sendMore() -> void
+    {
+        if (closed || pieces == 0)
+            return;
+        --pieces;
+        if (peer->unsentBytes() <= piece.size())
+            peer->write(piece);
+        loop->callAfter(pause, [this] { sendMore(); });
+    }
+
+    /// Lists the table; the time that it took.
+    auto list() -> Utils::Duration
+    {
+        const auto begun = loop->now();
+        client->list("servers", {}, [this](const auto &result) {
+            answer = result;
+            loop->stop();
+        });
+        loop->run();
+        loop->restart();
+        const auto took = loop->now() - begun;
+        loop->callAfter(50ms, [this] { loop->stop(); });
+        loop->run();
+        loop->restart();
+        return took;
+    }
+
+    std::unique_ptr<Net::Reactor> loop;
+    std::unique_ptr<Http1::TcpListener> listener;
+    std::unique_ptr<Http1::TcpStream> peer;
+    std::unique_ptr<Platform::RowStoreClient> client;
+    std::string opening;
+    std::string piece;
+    int pieces = 1 << 20;
+    std::chrono::milliseconds pause{1};
+    bool closed = false;
+    Utils::Result<RowSet, StoreError> answer = tl::unexpected(StoreError::Conflict);
+};
+
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+// Pattern: a long list over a slow link; it takes longer than a silent store is waited for.
+TEST_F(RowStoreCalls, AnswerThatKeepsComingIsWaitedFor)
+{
+    const std::string body = "{\"rows\":[],\"ver\":7}";
+    opening = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + 20)
+        + "\r\n\r\n" + body;
+    piece = " ";
+    pieces = 20;
+    pause = 100ms;
+    const auto took = list();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->version, 7U);
+    EXPECT_GT(took, 1900ms);
+}
+
+TEST_F(RowStoreCalls, SilentStoreIsGivenUp)
+{
+    opening = chunkedHead;
+    pieces = 0;
+    EXPECT_LT(list(), 2s);
+    EXPECT_FALSE(answer);
+    EXPECT_TRUE(closed);
+}
+
+TEST_F(RowStoreCalls, BodyWithoutEndIsCutOff)
+{
+    opening = chunkedHead;
+    piece = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+    EXPECT_LT(list(), 2s);
+    EXPECT_FALSE(answer);
+    EXPECT_TRUE(closed);
+}
+
+TEST_F(RowStoreCalls, HeadWithoutEndIsCutOff)
+{
+    opening = "HTTP/1.1 200 OK\r\n";
+    piece = "X-More: and more\r\n";
+    EXPECT_LT(list(), 2s);
+    EXPECT_FALSE(answer);
+    EXPECT_TRUE(closed);
+}
+
+TEST_F(RowStoreCalls, BodyThatDripsWithoutEndIsCutOff)
+{
+    opening = chunkedHead;
+    piece = "1\r\n \r\n";
+    pause = 50ms;
+    EXPECT_LT(list(), 7s);
+    EXPECT_FALSE(answer);
+    EXPECT_TRUE(closed);
+}
