An adapter that leaves keeps its place until its last run has ended

An adapter that streams still use leaves late: the engine answers 202 and keeps it, but the desk counted its place as free at once and loaded another one there. Ruled out by reading: model orders, as each names the count of accepted orders and is planned from a report of that count.

Change: leaving adapters count, get no requests, and are looked for in reports each half second.

Before: AdapterKeepsItsPlaceUntilItsLastRunHasEnded fails with one overload; after: none.

--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds ReportPause(100);
 /// Pause between two looks at an engine that can't be read.
 constexpr std::chrono::milliseconds ReportRetry(500);
+/// Pause between two looks at adapters that leave after their last run.
+constexpr std::chrono::milliseconds LeavingLookPause(500);
 /// Time from an accepted order until its adapter can be used; they take some 10 ms.
 constexpr std::chrono::milliseconds AdapterReadyAfter(20);
 /// An adapter used within this time is not dropped for another.
@@ -65,7 +67,7 @@
 
 auto EngineDesk::adapterCount() const -> int
 {
-    size_t count = m_state.comingAdapters.size();
+    size_t count = m_state.comingAdapters.size() + m_leavingAdapters.size();
     for (const auto &[model, adapters] : m_state.models)
         count += adapters.size();
     return static_cast<int>(count);
@@ -93,7 +95,8 @@
     if (m_call || now < m_nextReport)
         return;
     const bool loadIsDue = m_coming && now >= m_coming->dueAt;
-    if (!m_isKnown || m_isUncertain || loadIsDue || (!m_coming && m_state.isBusy))
+    const bool leavingIsDue = !m_leavingAdapters.empty() && now >= m_nextLookAtLeaving;
+    if (!m_isKnown || m_isUncertain || loadIsDue || leavingIsDue || (!m_coming && m_state.isBusy))
         askReport();
     else
         nextAdapter(now);
@@ -125,6 +128,7 @@
             answered ? m_context.wire.parseOrderAnswer(status) : OrderResult::Unknown;
         Utils::logEvent(Utils::Event::OrderAnswered,
                         {{"server", m_id},
+                         {"order", order.kind == EngineOrder::Kind::Load ? "load" : "unload"},
                          {"model", order.model},
                          {"adapter", order.adapter},
                          {"status", status},
@@ -152,10 +156,16 @@
         return;
     case OrderResult::AlreadySo:
         // Dropping an unused adapter is answered this way and counts as an order.
-        if (order.kind == EngineOrder::Kind::Unload)
-            m_isUncertain = true;
+        if (order.kind != EngineOrder::Kind::Unload)
+            return;
+        m_isUncertain = true;
+        m_nextReport += ReportLag;
         return;
     case OrderResult::Conflict:
+        // A report of now would show the count from before.
+        m_isUncertain = true;
+        m_nextReport += ReportLag;
+        return;
     case OrderResult::Unknown:
         m_isUncertain = true;
         return;
@@ -241,6 +251,12 @@
         m_wantedAdapters.pop_front();
         return;
     }
+    if (m_leavingAdapters.count(adapterName(model, adapter)) > 0) {
+        // It can be loaded again when it has left.
+        std::rotate(m_wantedAdapters.begin(), std::next(m_wantedAdapters.begin()),
+                    m_wantedAdapters.end());
+        return;
+    }
     EngineOrder order;
     order.model = model;
     if (adapterCount() >= m_adapterSlots) {
@@ -259,13 +275,7 @@
         }
         if (oldestModel.empty())
             return;
-        order.kind = EngineOrder::Kind::Unload;
-        order.model = oldestModel;
-        order.adapter = oldestAdapter;
-        m_state.models[oldestModel].erase(oldestAdapter);
-        m_events.onChanged();
-        give(order, [this](OrderResult) { m_events.onChanged(); });
-        return;
+        return dropAdapter(oldestModel, oldestAdapter);
     }
     order.kind = EngineOrder::Kind::Load;
     order.adapter = adapter;
@@ -285,6 +295,33 @@
     });
 }
 
+auto EngineDesk::dropAdapter(const std::string &model, const std::string &adapter) -> void
+{
+    m_state.models[model].erase(adapter);
+    m_events.onChanged();
+    EngineOrder order;
+    order.kind = EngineOrder::Kind::Unload;
+    order.model = model;
+    order.adapter = adapter;
+    give(order, [this, name = adapterName(model, adapter)](OrderResult result) {
+        if (result == OrderResult::Accepted) {
+            m_leavingAdapters.insert(name);
+            m_nextLookAtLeaving = m_context.reactor.now() + ReportLag;
+        }
+        m_events.onChanged();
+    });
+}
+
+/// Adapters that leave get no requests, but keep their place while the engine reports them.
+auto EngineDesk::hideLeavingAdapters() -> void
+{
+    std::erase_if(m_leavingAdapters, [this](const std::string &name) {
+        const auto slash = name.find('/');
+        const auto held = m_state.models.find(name.substr(0, slash));
+        return held == m_state.models.end() || held->second.erase(name.substr(slash + 1)) == 0;
+    });
+}
+
 auto EngineDesk::isAdapterWanted(const std::string &model, const std::string &adapter) const -> bool
 {
     const auto held = m_state.models.find(model);
@@ -301,6 +338,7 @@
         return;
     m_callStatus = 0;
     m_callBody.clear();
+    m_nextLookAtLeaving = m_context.reactor.now() + LeavingLookPause;
     const auto finish = [this](bool answered) {
         retire(std::move(m_call));
         m_nextReport = m_context.reactor.now() + ReportRetry;
@@ -344,6 +382,7 @@
     m_isKnown = true;
     m_isUncertain = false;
     m_state = *report;
+    hideLeavingAdapters();
     if (m_state.isBusy)
         m_state.models.erase(m_leaving);
     else
--- a/src/libs/gateway/enginedesk.h
+++ b/src/libs/gateway/enginedesk.h
@@ -62,6 +62,7 @@
     auto isAdapterWanted(const std::string &model, const std::string &adapter) const -> bool;
     /// True if it loads from the weight store, or may do so by another holder's order.
     auto isLoadingFromStore() const -> bool;
+    /// Adapters that take up a place: held, coming, or leaving after their last run.
     auto adapterCount() const -> int;
 
 private:
@@ -80,6 +81,8 @@
     auto takeReport(const std::string &body) -> void;
     auto wakeAt(Utils::TimePoint at) -> void;
     auto nextAdapter(Utils::TimePoint now) -> void;
+    auto dropAdapter(const std::string &model, const std::string &adapter) -> void;
+    auto hideLeavingAdapters() -> void;
     auto retire(std::unique_ptr<BackendAttempt> attempt) -> void;
 
     GatewayContext &m_context;
@@ -92,6 +95,9 @@
     std::map<std::string, Utils::TimePoint> m_readySince;
     std::map<std::string, Utils::TimePoint> m_adapterUsed; ///< By "model/adapter".
     std::list<std::pair<std::string, std::string>> m_wantedAdapters;
+    /// As "model/adapter": ordered to leave, and in the engine until their runs have ended.
+    std::set<std::string> m_leavingAdapters;
+    Utils::TimePoint m_nextLookAtLeaving;
     std::string m_comingAdapter; ///< As "model/adapter", while its order is out.
     int m_adapterSlots = 0;
     std::unique_ptr<BackendAttempt> m_call;
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -399,6 +399,34 @@
     EXPECT_LE(engine.models().at("m1").size(), 2U);
 }
 
+// Pattern: all places for adapters are taken and one of them makes room while its streams go on.
+TEST_F(Gateways, AdapterKeepsItsPlaceUntilItsLastRunHasEnded)
+{
+    auto &engine = addEngine("i-1", "lm", {"m1"});
+    engine.behaviour.eventPause = 220ms;
+    startReadyGateway();
+    std::vector<std::shared_ptr<Answer>> answers;
+    const auto start = [&](const char *adapter) {
+        answers.push_back(std::make_shared<Answer>());
+        callRaw(*answers.back(), address,
+                text("/draft/x", adapter,
+                     std::string("Model: m1/") + adapter + "\r\nToken-Count: 10,10\r\n"));
+    };
+    start("a1");
+    start("a2");
+    spin([] { return false; }, 500ms);
+    ASSERT_EQ(engine.runs(), 2);
+    start("a3");
+    spin([&] {
+        return std::all_of(answers.begin(), answers.end(),
+                           [](const auto &one) { return one->end.has_value(); });
+    });
+    EXPECT_EQ(engine.overloads(), 0);
+    EXPECT_TRUE(answers[0]->isWhole());
+    EXPECT_TRUE(answers[1]->isWhole());
+    EXPECT_EQ(ask(text("/draft/x", "b3", "Model: m1/a3\r\nToken-Count: 10,10\r\n"))->status, 200);
+}
+
 TEST_F(Gateways, UnansweredOrderIsNotTakenForDone)
 {
     auto &engine = addEngine("i-1", "lm", {"m1"});
