Loads that may still come late keep their room at an engine that started again

Cause (by reading and by model): an order names the count of accepted orders, which starts anew when an engine starts again under its id. An unanswered load to the incarnation before can then fit the count of the new one, which has been filled meanwhile: ordered beyond its room (LIMIT).

Change: LateOrders keeps the room of unanswered loads at later incarnations, lets no more loads be unanswered than an empty engine holds, and a new holder orders nothing for 12 s where it saw an engine start again.

--- a/src/libs/gateway/backendboard.cpp
+++ b/src/libs/gateway/backendboard.cpp
@@ -56,6 +56,7 @@
         entry = Entry();
         entry.inFlight = inFlight;
         entry.avoidedUntil = now;
+        entry.restartedAt = now;
         entry.server = withOwnWord(server);
         return true;
     }
@@ -296,6 +297,12 @@
     return found == m_entries.end() ? 0 : found->second.inFlight;
 }
 
+auto BackendBoard::restartedAt(const std::string &id) const -> std::optional<TimePoint>
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? std::nullopt : found->second.restartedAt;
+}
+
 auto BackendBoard::ejectedUntil(const std::string &id) const -> TimePoint
 {
     const auto found = m_entries.find(id);
--- a/src/libs/gateway/backendboard.h
+++ b/src/libs/gateway/backendboard.h
@@ -80,6 +80,8 @@
     auto find(const std::string &id) const -> const BackendServer *;
     auto servers() const -> std::vector<const BackendServer *>;
     auto inFlight(const std::string &id) const -> int;
+    /// When the server was seen to have started again under its id, if ever.
+    auto restartedAt(const std::string &id) const -> std::optional<Utils::TimePoint>;
     auto ejectedUntil(const std::string &id) const -> Utils::TimePoint;
 
 private:
@@ -92,6 +94,7 @@
         Utils::TimePoint ejectedUntil;
         Utils::TimePoint avoidedUntil;
         Utils::TimePoint pausedUntil; ///< By its own word.
+        std::optional<Utils::TimePoint> restartedAt;
         int reportedOthers = 0; ///< Requests of other gateways when the server last told.
         Utils::TimePoint reportedAt;
     };
@@ -106,8 +109,8 @@
     std::string m_failureDomain;
     int m_gateways = 1;
     std::map<std::string, Entry> m_entries;
-    /// Start of the newest incarnation that said it leaves, also of servers that are listed no more:
-    /// an entry may lapse and come back.
+    /// Start of the newest incarnation that said it leaves, also of servers that are listed no
+    /// more: an entry may lapse and come back.
     std::map<std::string, std::int64_t> m_saidLeaving;
     std::map<std::string, int> m_capacity;
 };
--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -73,10 +73,12 @@
     return static_cast<int>(count);
 }
 
-auto EngineDesk::planned(const BackendServer &server) const -> PlannedEngine
+auto EngineDesk::planned(const BackendServer &server, const LateOrders::Reserve &reserve) const
+    -> PlannedEngine
 {
     PlannedEngine engine;
     engine.id = m_id;
+    engine.reserve = reserve;
     for (const auto &[model, adapters] : m_state.models)
         engine.models.insert(model);
     engine.readySince = m_readySince;
@@ -134,6 +136,8 @@
                          {"status", status},
                          {"expected", *order.expectedOrders},
                          {"fence", order.fence}});
+        if (result != OrderResult::Unknown)
+            m_events.onOrderAnswered(order);
         takeOrderEnd(order, result);
         done(result);
     };
@@ -142,6 +146,7 @@
     events.onBody = [](std::string_view) {};
     events.onEnd = [finish](AttemptEnd how) { finish(how == AttemptEnd::Complete); };
     m_callTimer = m_context.reactor.callAfter(CallTimeout, [finish] { finish(false); });
+    m_events.onOrderSent(order);
     m_call = BackendAttempt::start(m_context, *server, m_context.wire.formatOrder(m_id, order), {},
                                    std::chrono::milliseconds(0), std::move(events));
 }
--- a/src/libs/gateway/enginedesk.h
+++ b/src/libs/gateway/enginedesk.h
@@ -37,6 +37,9 @@
         std::function<void()> onChanged; ///< What the engine holds is known anew.
         /// A load from the weight store has ended: its nominal time, and the time that it took.
         std::function<void(std::chrono::milliseconds, std::chrono::milliseconds)> onStoreLoad;
+        std::function<void(const EngineOrder &)> onOrderSent;
+        /// The engine said what becomes of the order.
+        std::function<void(const EngineOrder &)> onOrderAnswered;
         /// Asked right before an order leaves; nothing forbids it.
         std::function<std::optional<OrderAuthority>()> authority;
     };
@@ -49,7 +52,8 @@
     auto isKnown() const -> bool { return m_isKnown; }
     /// True if no order may be given now.
     auto isBusy() const -> bool;
-    auto planned(const BackendServer &server) const -> PlannedEngine;
+    auto planned(const BackendServer &server, const LateOrders::Reserve &reserve) const
+        -> PlannedEngine;
     auto state() const -> const EngineReport & { return m_state; }
 
     auto load(const std::string &model, std::chrono::milliseconds expected, bool isFromStore,
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -26,6 +26,7 @@
     : m_context(context)
     , m_loadWindow(loadWindow)
     , m_events(std::move(events))
+    , m_lateOrders(context.reactor.now())
 { }
 
 EnginePlacement::~EnginePlacement()
@@ -95,6 +96,16 @@
             if (*alive)
                 m_pacer.noteLoaded(nominal, took, runningStoreLoads());
         };
+        events.onOrderSent = [this, alive = m_alive, id = server->id,
+                              startedAtMs = server->startedAtMs](const EngineOrder &order) {
+            if (*alive)
+                m_lateOrders.noteSent(id, startedAtMs, order, weightsOf(id, order.model), now());
+        };
+        events.onOrderAnswered = [this, alive = m_alive,
+                                  id = server->id](const EngineOrder &order) {
+            if (*alive)
+                m_lateOrders.noteAnswered(id, order);
+        };
         events.authority = m_events.authority;
         m_desks.emplace(key,
                         std::make_unique<EngineDesk>(m_context, server->id, std::move(events)));
@@ -109,6 +120,25 @@
     }));
 }
 
+auto EnginePlacement::reserveAt(const BackendServer &server) const -> LateOrders::Reserve
+{
+    return m_lateOrders.reserveAt(server.id, server.startedAtMs,
+                                  m_context.board.restartedAt(server.id), now());
+}
+
+/// Of a model that the engine's service describes; one that it doesn't describe is not loaded.
+auto EnginePlacement::weightsOf(const std::string &engine, const std::string &model) const -> double
+{
+    const BackendServer *server = m_context.board.find(engine);
+    const Service *service = server && m_context.configuration
+        ? m_context.configuration->findService(server->service)
+        : nullptr;
+    if (!service || !service->engine)
+        return 0;
+    const auto found = service->engine->models.find(model);
+    return found == service->engine->models.end() ? 0 : found->second.weightsMb;
+}
+
 auto EnginePlacement::storeLoadsAllowed(const EngineDescription &description) -> int
 {
     const TimePoint at = now();
@@ -132,7 +162,7 @@
         const BackendServer *server = m_context.board.find(id);
         if (!server || server->service != service || !desk->isKnown())
             continue;
-        input.engines.push_back(desk->planned(*server));
+        input.engines.push_back(desk->planned(*server, reserveAt(*server)));
         byId[id] = desk.get();
     }
     for (const auto &[key, total] : demand) {
@@ -190,16 +220,23 @@
             || m_context.board.isHeld({service, key.model, key.adapter, {}, {}}))
             continue;
         EngineDesk *best = nullptr;
+        const BackendServer *bestServer = nullptr;
         for (auto &[deskKey, desk] : m_desks) {
             const BackendServer *server = m_context.board.find(idOf(deskKey));
             if (!server || server->service != service || !desk->isKnown()
                 || desk->state().models.count(key.model) == 0)
                 continue;
-            if (!best || desk->adapterCount() < best->adapterCount())
+            if (!best || desk->adapterCount() < best->adapterCount()) {
                 best = desk.get();
+                bestServer = server;
+            }
         }
-        if (best && !isAdapterComing(key))
-            best->wantAdapter(key.model, key.adapter, description.adapterSlots, now());
+        if (!best || isAdapterComing(key))
+            continue;
+        const auto reserve = reserveAt(*bestServer);
+        if (!reserve.isWhole)
+            best->wantAdapter(key.model, key.adapter, description.adapterSlots - reserve.adapters,
+                              now());
     }
 }
 
--- a/src/libs/gateway/engineplacement.h
+++ b/src/libs/gateway/engineplacement.h
@@ -2,6 +2,7 @@
 
 #include "demandtracker.h"
 #include "enginedesk.h"
+#include "lateorders.h"
 #include "storeloadpacer.h"
 #include "swapplanner.h"
 
@@ -43,6 +44,8 @@
     auto syncDesks() -> void;
     auto engineChanged(const std::string &key, const std::string &id) -> void;
     auto runningStoreLoads() const -> int;
+    auto reserveAt(const BackendServer &server) const -> LateOrders::Reserve;
+    auto weightsOf(const std::string &engine, const std::string &model) const -> double;
     auto storeLoadsAllowed(const EngineDescription &description) -> int;
     auto placeModels(const std::string &service, const EngineDescription &description,
                      const std::map<ModelKey, TotalDemand> &demand) -> void;
@@ -58,6 +61,7 @@
     Events m_events;
     std::map<std::string, std::unique_ptr<EngineDesk>> m_desks; ///< By id and start.
     std::map<std::string, SwapPlanner> m_planners; ///< By service.
+    LateOrders m_lateOrders;
     StoreLoadPacer m_pacer;
     std::deque<Utils::TimePoint> m_storeLoads; ///< When loads from the weight store began.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/libs/gateway/lateorders.cpp
@@ -0,0 +1,66 @@
+#include "lateorders.h"
+
+#include "wireformat.h"
+
+namespace Gateway {
+
+using Utils::TimePoint;
+
+namespace {
+
+/// Longest time after which an order without an answer may still be carried out.
+constexpr std::chrono::seconds LatestExecution(12);
+
+} // namespace
+
+LateOrders::LateOrders(TimePoint startedAt)
+    : m_startedAt(startedAt)
+{ }
+
+auto LateOrders::noteSent(const std::string &engine, std::int64_t engineStartedAtMs,
+                          const EngineOrder &order, double weightsMb, TimePoint now) -> void
+{
+    auto &sent = m_sent[engine];
+    std::erase_if(sent, [now](const Sent &one) { return one.until <= now; });
+    if (order.kind == EngineOrder::Kind::Load)
+        sent.push_back({engineStartedAtMs, order.expectedOrders.value_or(0), !order.adapter.empty(),
+                        order.adapter.empty() ? weightsMb : 0, now + LatestExecution});
+}
+
+auto LateOrders::noteAnswered(const std::string &engine, const EngineOrder &order) -> void
+{
+    const auto found = m_sent.find(engine);
+    if (found == m_sent.end())
+        return;
+    // An engine gets one order at a time, so the newest one is meant.
+    auto &sent = found->second;
+    if (order.kind == EngineOrder::Kind::Load && !sent.empty()
+        && sent.back().expectedOrders == order.expectedOrders.value_or(0))
+        sent.pop_back();
+    if (sent.empty())
+        m_sent.erase(found);
+}
+
+auto LateOrders::reserveAt(const std::string &engine, std::int64_t engineStartedAtMs,
+                           std::optional<TimePoint> restartedAt, TimePoint now) const -> Reserve
+{
+    Reserve reserve;
+    const auto found = m_sent.find(engine);
+    if (found != m_sent.end()) {
+        for (const Sent &sent : found->second) {
+            if (sent.until <= now)
+                continue;
+            reserve.lateMb += sent.weightsMb;
+            // In its own incarnation the count of orders keeps it from being taken beside others.
+            if (sent.engineStartedAtMs >= engineStartedAtMs)
+                continue;
+            reserve.weightsMb += sent.weightsMb;
+            reserve.adapters += sent.isAdapter ? 1 : 0;
+        }
+    }
+    reserve.isWhole = restartedAt && *restartedAt > m_startedAt - LatestExecution
+        && now < m_startedAt + LatestExecution;
+    return reserve;
+}
+
+} // namespace Gateway
--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -129,7 +129,10 @@
         candidate.seconds = toSeconds(model.storeLoadTime);
         candidate.isFromStore = true;
     }
-    double room = description.weightsMb - lookup.adapterRoomMb;
+    const double all = description.weightsMb - lookup.adapterRoomMb;
+    if (engine.reserve.isWhole || engine.reserve.lateMb + model.weightsMb > all)
+        return {};
+    double room = all - engine.reserve.weightsMb;
     for (const std::string &held : engine.models)
         room -= weightsOf(description, held);
     for (const auto &[loss, victim] : lookup.victims.at(engine.id)) {
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration.h"
+#include "lateorders.h"
 
 #include <utils/timepoint.h>
 
@@ -29,6 +30,7 @@
     std::map<std::string, Utils::TimePoint> readySince; ///< Of each held model, if known.
     std::string coming; ///< The model that is being loaded; empty if none.
     bool isBusy = false; ///< Takes no order now.
+    LateOrders::Reserve reserve; ///< Of its room.
     std::set<std::string> copiesInMemory;
     std::set<std::string> copiesOnDisk;
 };
--- /dev/null
+++ b/tests/auto/gateway/tst_lateorders.cpp
@@ -0,0 +1,162 @@
+// Orders without an answer, over restarts of engines and new holders of the duty.
+
+#include <gateway/lateorders.h>
+#include <gateway/wireformat.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace Gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Utils::TimePoint start = Utils::TimePoint() + 1h;
+auto load(std::int64_t expected, const std::string &adapter = {}) -> EngineOrder
+{
+    EngineOrder order;
+    order.model = "m1";
+    order.adapter = adapter;
+    order.expectedOrders = expected;
+    return order;
+}
+
+} // namespace
+
+// Pattern: a load gets no answer, the engine crashes and starts again under its id, and reaches the
+// count of orders that the load was for.
+TEST(LateOrders, RoomOfAnUnansweredLoadIsKeptAtTheNextIncarnation)
+{
+    LateOrders orders(start);
+    orders.noteSent("e1", 1, load(3), 65000, start + 20s);
+    EXPECT_EQ(orders.reserveAt("e1", 1, {}, start + 21s).weightsMb, 0)
+        << "the count protects the same incarnation";
+    EXPECT_EQ(orders.reserveAt("e1", 1, {}, start + 21s).lateMb, 65000);
+    EXPECT_EQ(orders.reserveAt("e1", 2, start + 21s, start + 21s).weightsMb, 65000);
+    EXPECT_EQ(orders.reserveAt("e2", 2, start + 21s, start + 21s).weightsMb, 0);
+    EXPECT_EQ(orders.reserveAt("e1", 2, start + 21s, start + 32s).weightsMb, 0);
+}
+
+TEST(LateOrders, AnsweredLoadsReserveNothing)
+{
+    LateOrders orders(start);
+    orders.noteSent("e1", 1, load(3), 65000, start + 20s);
+    orders.noteAnswered("e1", load(3));
+    orders.noteSent("e1", 1, load(4, "a1"), 65000, start + 20s);
+    const auto reserve = orders.reserveAt("e1", 2, start + 21s, start + 21s);
+    EXPECT_EQ(reserve.weightsMb, 0);
+    EXPECT_EQ(reserve.adapters, 1);
+}
+
+// Pattern: the holder changes around a crash; what the one before ordered is not known.
+TEST(LateOrders, NewHolderOrdersNothingWhereAnEngineHasJustStartedAgain)
+{
+    LateOrders orders(start);
+    EXPECT_TRUE(orders.reserveAt("e1", 2, start - 5s, start + 1s).isWhole);
+    EXPECT_TRUE(orders.reserveAt("e1", 2, start + 2s, start + 3s).isWhole);
+    EXPECT_FALSE(orders.reserveAt("e1", 2, start - 13s, start + 1s).isWhole);
+    EXPECT_FALSE(orders.reserveAt("e1", 2, {}, start + 1s).isWhole);
+    EXPECT_FALSE(orders.reserveAt("e1", 2, start + 2s, start + 13s).isWhole);
+}
+
+namespace {
+
+/// One engine with room for two models, its holder, and the orders that are still on their way.
+struct World
+{
+    static constexpr double mostMb = 2;
+    static constexpr double modelMb = 1;
+
+    struct Flying
+    {
+        std::int64_t expected = 0;
+        bool isOfFormerHolder = false;
+    };
+
+    LateOrders orders{start - 1h};
+    std::int64_t startedAtMs = 1;
+    std::optional<Utils::TimePoint> restartedAt;
+    std::int64_t count = 0;
+    double heldMb = 0;
+    std::vector<Flying> flying;
+
+    auto mayLoad() const -> bool
+    {
+        const auto reserve = orders.reserveAt("e1", startedAtMs, restartedAt, start + 1s);
+        return !reserve.isWhole && reserve.lateMb + modelMb <= mostMb
+            && heldMb + reserve.weightsMb + modelMb <= mostMb;
+    }
+    auto take(std::int64_t expected) -> void
+    {
+        if (expected != count)
+            return;
+        ++count;
+        heldMb += modelMb;
+    }
+    auto order(bool isAnswered) -> void
+    {
+        orders.noteSent("e1", startedAtMs, load(count), modelMb, start + 1s);
+        if (!isAnswered)
+            return flying.push_back({count, false});
+        const EngineOrder given = load(count);
+        take(count);
+        orders.noteAnswered("e1", given);
+    }
+};
+
+/// Plays all that may happen next, `steps` times over; the number of ends that were reached.
+auto play(const World &world, int steps) -> long
+{
+    EXPECT_LE(world.heldMb, World::mostMb);
+    if (steps == 0 || testing::Test::HasFailure())
+        return 1;
+    long ends = 0;
+    const auto go = [&](const auto &change) {
+        World next = world;
+        change(next);
+        ends += play(next, steps - 1);
+    };
+    if (world.mayLoad()) {
+        go([](World &next) { next.order(true); });
+        // Unanswered orders of two holders at once are not covered.
+        if (std::none_of(world.flying.begin(), world.flying.end(),
+                         [](const auto &one) { return one.isOfFormerHolder; }))
+            go([](World &next) { next.order(false); });
+    }
+    if (world.heldMb > 0)
+        go([](World &next) { // An unload.
+            ++next.count;
+            next.heldMb -= World::modelMb;
+        });
+    go([](World &next) { // The engine starts again under its id.
+        ++next.startedAtMs;
+        next.restartedAt = start + 1s;
+        next.count = 0;
+        next.heldMb = 0;
+    });
+    if (world.flying.empty())
+        return ends;
+    for (size_t i = 0; i < world.flying.size(); ++i)
+        go([i](World &next) { // An order is carried out late.
+            const auto expected = next.flying[i].expected;
+            next.flying.erase(next.flying.begin() + static_cast<long>(i));
+            next.take(expected);
+        });
+    go([](World &next) { // Another gateway takes the duty.
+        next.orders = LateOrders(start);
+        for (auto &one : next.flying)
+            one.isOfFormerHolder = true;
+    });
+    return ends;
+}
+
+} // namespace
+
+// Whatever answers are lost, however late orders come, and in whatever order the engine starts
+// again and the holder changes, the engine is never ordered beyond its room.
+TEST(LateOrders, EngineIsNeverOrderedBeyondItsRoom)
+{
+    constexpr int steps = 9;
+    EXPECT_GT(play(World(), steps), 10000);
+}
