What a process was to send is asked for again when the connection stands; late copies without a name

Where each could happen here: - A late second copy: answers that name another request were skipped, but a copy that names none (a refusal, a report) was taken for the next answer on a connection in use again; an at-most-once request then ran at two servers.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -25,8 +25,11 @@
     auto takeHead(const Http1::ResponseHead &head) -> bool
     {
         const BackendAnswer answer = context->wire.parseAnswer(head);
-        // An answer to an earlier request may come late, where this one's is due.
-        if (!answer.attemptId.empty() && answer.attemptId != attemptId)
+        // An answer to an earlier request may come late, where this one's is due. Servers name the
+        // request that they answer, so one without a name is no safer on a connection in use again.
+        const bool isUnnamed = answer.attemptId.empty() && !attemptId.empty();
+        if (isUnnamed ? connection && connection->wasUsedBefore()
+                      : !answer.attemptId.empty() && answer.attemptId != attemptId)
             return false;
         noteOwnWord(answer);
         if (answer.idleTimeout) {
@@ -131,6 +134,7 @@
             d->events.onBody(piece);
     };
     calls.onEnd = [d = data.get()](Http1::CallEnd how) { d->end(Private::translate(how)); };
+    calls.maySend = [d = data.get()] { return !d->events.maySend || d->events.maySend(); };
     data->connection->call(request, std::move(calls));
     return attempt;
 }
--- a/src/libs/gateway/backendattempt.h
+++ b/src/libs/gateway/backendattempt.h
@@ -31,6 +31,8 @@
         std::function<void(const BackendAnswer &)> onHead;
         std::function<void(std::string_view)> onBody;
         std::function<void(AttemptEnd)> onEnd; ///< Once; not after `abandon`.
+        /// Asked again when a new connection stands, as time has passed; false sends nothing.
+        std::function<bool()> maySend = nullptr;
     };
 
     /// `mostIdle` bounds the rest of a reused connection.
--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -145,6 +145,8 @@
     events.onHead = [this](const BackendAnswer &answer) { m_callStatus = answer.status; };
     events.onBody = [](std::string_view) {};
     events.onEnd = [finish](AttemptEnd how) { finish(how == AttemptEnd::Complete); };
+    // While the connection was made this process may have stood still and lost the duty.
+    events.maySend = [this] { return m_events.authority().has_value(); };
     m_callTimer = m_context.reactor.callAfter(CallTimeout, [finish] { finish(false); });
     m_events.onOrderSent(order);
     m_call = BackendAttempt::start(m_context, *server, m_context.wire.formatOrder(m_id, order), {},
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -79,13 +79,12 @@
     GatewayContext context;
     CrashWatch crashWatch{context.crashSuspects,
                           [this](const nlohmann::json &message) { tellOthers(message); }};
-    LeavingWatch leavingWatch{
-        board,
-        {[this](const nlohmann::json &message) { tellOthers(message); },
-         [this](const std::string &id) {
-             pool.forget(id);
-             waiting.wake();
-         }}};
+    LeavingWatch leavingWatch{board,
+                              {[this](const nlohmann::json &message) { tellOthers(message); },
+                               [this](const std::string &id) {
+                                   pool.forget(id);
+                                   waiting.wake();
+                               }}};
     int gateways = 1;
 
     std::unique_ptr<TableFollower> configurationFollower;
@@ -322,8 +321,10 @@
                                 [](const auto &item) { return item.second->isBusy(); });
                 context.isStopping = passed >= StopAdmission;
                 // By now the balancer has seen that this gateway stops.
-                if (passed >= LeastStopTime)
+                if (passed >= LeastStopTime && callerListener) {
+                    callerListener->acceptRest();
                     callerListener.reset();
+                }
                 const bool isOver = passed >= settings.stopTime - StopMargin;
                 if ((anyBusy || passed < LeastStopTime) && !isOver)
                     return;
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -61,11 +61,14 @@
 auto RequestFlow::relay(std::string_view data) -> void
 {
     std::string out;
+    bool isNews = false;
     for (const StreamEvent &event : m_splitter.feed(data)) {
         if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
             continue;
-        if (event.id)
+        if (event.id) {
             m_lastEvent = event.id;
+            isNews = true;
+        }
         out += event.text;
     }
     if (out.empty())
@@ -82,7 +85,9 @@
         m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
     m_lastEventAt = now;
     m_caller->write(out);
-    armSilence();
+    // Comments show that the connection lives, and not that the engine gets on.
+    if (isNews)
+        armSilence();
 }
 
 auto RequestFlow::takeEnd(AttemptEnd how) -> void
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -301,6 +301,9 @@
     events.onHead = [this](const BackendAnswer &answer) { takeHead(answer); };
     events.onBody = [this](std::string_view data) { takeBody(data); };
     events.onEnd = [this](AttemptEnd how) { takeEnd(how); };
+    events.maySend = [this] {
+        return timeLeft() > Constants::AnswerMargin && !m_caller->clientHasLeft();
+    };
     const Duration mostIdle =
         m_route->mayRepeat() ? Constants::RepeatableIdle : Constants::AtMostOnceIdle;
     m_attempt =
@@ -357,8 +360,8 @@
     case RefusalReason::NoBackendServer: {
         const auto now = m_context.reactor.now();
         const auto pauseEnd = m_context.board.pauseEnd(need(), now).value_or(now);
-        return std::clamp(duration_cast<milliseconds>(pauseEnd - now),
-                          Constants::DefaultRetryAfter, Constants::LongestRetryAfter);
+        return std::clamp(duration_cast<milliseconds>(pauseEnd - now), Constants::DefaultRetryAfter,
+                          Constants::LongestRetryAfter);
     }
     case RefusalReason::NotFresh:
     case RefusalReason::Draining:
--- a/src/libs/http1/clientconnection.cpp
+++ b/src/libs/http1/clientconnection.cpp
@@ -42,7 +42,8 @@
         reader = std::make_unique<MessageReader>(MessageKind::Response, MessageLimits(),
                                                  std::move(readerEvents));
         stream->setEvents({[this](std::string_view data) { takeData(data); },
-                           [this](StreamEnd how) { takeEnd(how); }});
+                           [this](StreamEnd how) { takeEnd(how); },
+                           [this] { return !events.maySend || events.maySend(); }});
     }
 
     auto takeData(std::string_view data) -> void
@@ -168,6 +169,11 @@
     return d->stream && d->stream->isConnected();
 }
 
+auto ClientConnection::wasUsedBefore() const -> bool
+{
+    return d->sentBefore;
+}
+
 auto ClientConnection::hasSent() const -> bool
 {
     return d->stream && (d->stream->hasSent() || d->sentBefore);
--- a/src/libs/http1/clientconnection.h
+++ b/src/libs/http1/clientconnection.h
@@ -33,6 +33,8 @@
         std::function<bool(const ResponseHead &, Framing)> onHead;
         std::function<void(std::string_view)> onBody;
         std::function<void(CallEnd)> onEnd; ///< Once.
+        /// Asked once more if the connection had to be made first; false sends nothing.
+        std::function<bool()> maySend = nullptr;
     };
 
     static auto connect(Net::Reactor &reactor, const SocketAddress &peer)
@@ -47,6 +49,8 @@
     /// True if another call may be made on this connection.
     auto isReusable() const -> bool;
     auto isConnected() const -> bool;
+    /// True if the current call is not the first on this connection.
+    auto wasUsedBefore() const -> bool;
     /// True once any byte of the current call was handed to the network.
     auto hasSent() const -> bool;
     /// Called when an idle connection ends or the peer sends what nobody asked for.
--- a/src/libs/http1/tcplistener.cpp
+++ b/src/libs/http1/tcplistener.cpp
@@ -67,6 +67,11 @@
     return std::unique_ptr<TcpListener>(new TcpListener(std::move(data)));
 }
 
+auto TcpListener::acceptRest() -> void
+{
+    d->acceptWaiting();
+}
+
 auto TcpListener::port() const -> std::uint16_t
 {
     sockaddr_in bound = {};
--- a/src/libs/http1/tcplistener.h
+++ b/src/libs/http1/tcplistener.h
@@ -23,6 +23,8 @@
         -> Utils::Result<std::unique_ptr<TcpListener>, std::string>;
     ~TcpListener();
 
+    /// Takes the connections that already stand, as before an end.
+    auto acceptRest() -> void;
     auto port() const -> std::uint16_t;
 
 private:
--- a/src/libs/http1/tcpstream.cpp
+++ b/src/libs/http1/tcpstream.cpp
@@ -72,6 +72,8 @@
             if (error != 0)
                 return end(StreamEnd::Broken);
             connected = true;
+            if (events.maySend && !events.maySend())
+                return end(StreamEnd::Broken);
         }
         if (flush())
             watch();
--- a/src/libs/http1/tcpstream.h
+++ b/src/libs/http1/tcpstream.h
@@ -27,6 +27,9 @@
     {
         std::function<void(std::string_view)> onData;
         std::function<void(StreamEnd)> onEnd; ///< At most once.
+        /// Asked when a connection stands at last, before what was written meanwhile is sent. False
+        /// ends it: this process may have stood still, and what it was to send be out of date.
+        std::function<bool()> maySend = nullptr;
     };
 
     /// Starts to connect; what is written meanwhile is sent once the connection stands.
--- a/tests/auto/http1/tst_connections.cpp
+++ b/tests/auto/http1/tst_connections.cpp
@@ -145,6 +145,35 @@
     EXPECT_EQ(*ended, CallEnd::NotSent);
 }
 
+// Pattern: a process stands still between connecting and sending, and what it may do has run out.
+TEST_F(Connections, CallIsNotSentIfItMayNotAnyMoreWhenTheConnectionStands)
+{
+    const auto address = listenRaw([](TcpStream &peer, std::string_view) { peer.write(whole); });
+    auto connection = std::move(*ClientConnection::connect(*loop, address));
+    bool mayStill = true;
+    connection->call("POST /order HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+                     {[](const ResponseHead &, Framing) { return true; }, [](std::string_view) {},
+                      [this](CallEnd how) { ended = how; }, [&] { return mayStill; }});
+    mayStill = false;
+    ASSERT_TRUE(spin([this] { return ended.has_value(); }));
+    EXPECT_EQ(*ended, CallEnd::NotSent);
+    EXPECT_TRUE(spin([this] { return peerEnds.size() == 1; }));
+    EXPECT_TRUE(received.empty());
+}
+
+// Pattern: a listener ends while connections stand that the process has not seen yet.
+TEST_F(Connections, ConnectionsThatStandAreTakenBeforeTheListenerEnds)
+{
+    const auto address = listenServer(
+        [](ServerConnection &server, const RequestHead &) { server.respond(200, {}, "ok"); });
+    auto connection = std::move(*ClientConnection::connect(*loop, address));
+    call(*connection);
+    listener->acceptRest();
+    listener.reset();
+    ASSERT_TRUE(spin([this] { return ended.has_value(); }));
+    EXPECT_EQ(*ended, CallEnd::Complete);
+}
+
 TEST_F(Connections, BytesAfterACompleteAnswerEndTheConnection)
 {
     const auto address =
@@ -273,8 +302,8 @@
             auto client = std::move(*TcpStream::connect(*loop, address));
             std::string answer;
             bool ended = false;
-            client->setEvents({[&](std::string_view data) { answer += data; },
-                               [&](StreamEnd) { ended = true; }});
+            client->setEvents(
+                {[&](std::string_view data) { answer += data; }, [&](StreamEnd) { ended = true; }});
             client->write(one.opening);
             const auto begun = loop->now();
             auto last = begun;
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -211,6 +211,10 @@
 class Floods : public Gateways, public testing::WithParamInterface<Flood>
 { };
 
+/// What comes before the answer that is due.
+class LateCopies : public Gateways, public testing::WithParamInterface<std::string>
+{ };
+
 const std::string m1 = "Model: m1\r\nToken-Count: 10,10\r\n";
 
 } // namespace
@@ -470,6 +474,98 @@
     EXPECT_EQ(ask(text("/file/x", "a9"))->status, 401);
 }
 
+// Pattern: a server sends a second copy of an answer late, on a connection that is in use again.
+// Its first copy named its request; a copy of a refusal need not.
+TEST_P(LateCopies, AreNotTakenForTheNextAnswer)
+{
+    std::unique_ptr<Http1::TcpStream> peer;
+    int asked = 0;
+    const auto answerTo = [](const std::string &id) {
+        return "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: " + id
+            + "\r\nContent-Length: 2\r\n\r\n" + id;
+    };
+    const auto listener = std::move(*Http1::TcpListener::listen(
+        *loop, *Http1::SocketAddress::parse("127.0.0.1:0"),
+        [&](std::unique_ptr<Http1::TcpStream> stream) {
+            peer = std::move(stream);
+            peer->setEvents({[&](std::string_view) {
+                                 ++asked;
+                                 peer->write(asked == 1 ? answerTo("a1")
+                                                        : GetParam() + answerTo("a2"));
+                             },
+                             [&](Http1::StreamEnd) {}});
+        }));
+    auto &engine = addEngine("i-1", "app");
+    engine.advertisedAddress =
+        *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port()));
+    engine.announce();
+    auto &other = addEngine("i-2", "app");
+    other.announce("draining");
+    startReadyGateway();
+    EXPECT_EQ(ask(text("/file/x", "a1"))->body, "a1");
+    other.announce();
+    const auto answer = ask(text("/file/x", "a2"));
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "a2");
+    EXPECT_EQ(asked, 2);
+    EXPECT_EQ(other.runs(), 0) << "it would run twice";
+}
+
+INSTANTIATE_TEST_SUITE_P(Gateways, LateCopies,
+                         testing::Values("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a1\r\n"
+                                         "Content-Length: 2\r\n\r\na1",
+                                         "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                                         "Content-Length: 0\r\n\r\n",
+                                         "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-9\r\n"
+                                         "Content-Length: 0\r\n\r\n",
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"));
+
+// Pattern: a stream whose engine is slow but gets on, and one that only sends signs of life.
+TEST_F(Gateways, SlowSoundStreamIsLeftAloneAndAStalledOneMoves)
+{
+    const auto slowRoute = [](const char *prefix, bool resumable) {
+        return json{{"name", std::string("r") + prefix},
+                    {"host", "h.example"},
+                    {"prefix", prefix},
+                    {"routeType", "streaming"},
+                    {"timeoutMs", 12000},
+                    {"targetLatencyMs", 400},
+                    {"service", "lm"},
+                    {"maxAttempts", 2},
+                    {"resumable", resumable}};
+    };
+    putConfiguration(2, {{"routes", {slowRoute("/batch/", true)}}});
+    auto &first = addEngine("i-1", "lm", {"m1"});
+    auto &second = addEngine("i-2", "lm", {"m1"});
+    first.behaviour.eventPause = second.behaviour.eventPause = 1200ms;
+    startReadyGateway();
+    const auto request = [](const std::string &id) {
+        return "POST /batch/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
+            + "\r\nAuthorization: Bearer key1\r\nDeadline-Ms: 12000\r\n" + m1
+            + "Content-Length: 0\r\n\r\n";
+    };
+    auto slow = std::make_shared<Answer>();
+    callRaw(*slow, address, request("a1"));
+    ASSERT_TRUE(spin([&] { return slow->end.has_value(); }, 8s));
+    EXPECT_TRUE(slow->isWhole());
+    EXPECT_EQ(events(slow->body), allEvents);
+    EXPECT_EQ(first.runs() + second.runs(), 1);
+
+    first.behaviour.eventPause = second.behaviour.eventPause = 5ms;
+    first.behaviour.pingsAfterEvents = second.behaviour.pingsAfterEvents = 2;
+    auto stalled = std::make_shared<Answer>();
+    callRaw(*stalled, address, request("a2"));
+    ASSERT_TRUE(spin([&] { return first.runs() + second.runs() == 2; }));
+    spin([] { return false; }, 100ms);
+    first.behaviour.pingsAfterEvents = second.behaviour.pingsAfterEvents = -1;
+    const auto begun = loop->now();
+    ASSERT_TRUE(spin([&] { return stalled->end.has_value(); }, 5s));
+    EXPECT_LT(loop->now() - begun, 2s);
+    EXPECT_TRUE(stalled->isWhole());
+    EXPECT_EQ(events(stalled->body), allEvents);
+    EXPECT_EQ(first.runs() + second.runs(), 3);
+}
+
 // Pattern: an engine that leaves says so in its answers; the list still calls it ready.
 TEST_F(Gateways, ServerThatSaysItLeavesGetsNothingNew)
 {
@@ -513,7 +609,8 @@
     for (int i = 0; i < 5; ++i) {
         const auto answer = ask(text("/file/x", "a" + std::to_string(i)));
         EXPECT_EQ(answer->status, 503);
-        const double wait = std::stod(std::string(answer->fields.value("Retry-After").value_or("0")));
+        const double wait =
+            std::stod(std::string(answer->fields.value("Retry-After").value_or("0")));
         EXPECT_NEAR(wait, 1.5 - Utils::toSeconds(loop->now() - begun), 0.2);
     }
     EXPECT_LT(loop->now() - begun, 500ms) << "refused at once";
@@ -534,16 +631,16 @@
     std::unique_ptr<Http1::TcpStream> peer;
     bool asked = false;
     bool closed = false;
-    const auto listener = std::move(*Http1::TcpListener::listen(
-        *loop, *Http1::SocketAddress::parse("127.0.0.1:0"),
-        [&](std::unique_ptr<Http1::TcpStream> stream) {
-            peer = std::move(stream);
-            peer->setEvents({[&](std::string_view) {
-                                 asked = true;
-                                 peer->write(opening);
-                             },
-                             [&](Http1::StreamEnd) { closed = true; }});
-        }));
+    const auto listener = std::move(
+        *Http1::TcpListener::listen(*loop, *Http1::SocketAddress::parse("127.0.0.1:0"),
+                                    [&](std::unique_ptr<Http1::TcpStream> stream) {
+                                        peer = std::move(stream);
+                                        peer->setEvents({[&](std::string_view) {
+                                                             asked = true;
+                                                             peer->write(opening);
+                                                         },
+                                                         [&](Http1::StreamEnd) { closed = true; }});
+                                    }));
     auto &flooding = addEngine("i-1", "app");
     flooding.advertisedAddress =
         *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port()));
