An order that may not be given changes nothing that is known of the engine

When the duty had lapsed, nothing was sent and the adapter stayed; with the duty back, one adapter too many was loaded in its place. Reports did not mend it, as none was due. The engine's own timers call the desk also without the duty. Ruled out: orders by count (see LateOrders), leaving adapters (the engine refuses all orders until they have left).

Change: give() says whether the order left; state changes only then.

Before: AdapterThatCouldNotBeDroppedKeepsItsPlace fails (one overload); after: passes.

--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -55,7 +55,24 @@
 
 auto EngineDesk::isBusy() const -> bool
 {
-    return !m_isKnown || m_call || m_coming || m_isUncertain || m_state.isBusy;
+    return m_call || !takesAdapters();
+}
+
+auto EngineDesk::takesAdapters() const -> bool
+{
+    return m_isKnown && !m_isUncertain && !m_coming && !m_state.isBusy && m_leavingAdapters.empty();
+}
+
+auto EngineDesk::noteAdaptersInUse(
+    const std::function<bool(const std::string &model, const std::string &adapter)> &isInUse,
+    TimePoint now) -> void
+{
+    for (const auto &[model, adapters] : m_state.models) {
+        for (const std::string &adapter : adapters) {
+            if (isInUse(model, adapter))
+                m_adapterUsed[adapterName(model, adapter)] = now;
+        }
+    }
 }
 
 auto EngineDesk::isLoadingFromStore() const -> bool
@@ -94,14 +111,16 @@
 
 auto EngineDesk::tick(TimePoint now) -> void
 {
-    if (m_call || now < m_nextReport)
+    if (m_call)
         return;
     const bool loadIsDue = m_coming && now >= m_coming->dueAt;
     const bool leavingIsDue = !m_leavingAdapters.empty() && now >= m_nextLookAtLeaving;
-    if (!m_isKnown || m_isUncertain || loadIsDue || leavingIsDue || (!m_coming && m_state.isBusy))
-        askReport();
-    else
+    const bool reportIsDue = !m_isKnown || m_isUncertain || loadIsDue || leavingIsDue
+        || (!m_coming && m_state.isBusy);
+    if (!reportIsDue)
         nextAdapter(now);
+    else if (now >= m_nextReport)
+        askReport();
 }
 
 auto EngineDesk::retire(std::unique_ptr<BackendAttempt> attempt) -> void
@@ -113,12 +132,12 @@
                                 [kept = std::shared_ptr<BackendAttempt>(std::move(attempt))] {});
 }
 
-auto EngineDesk::give(EngineOrder order, std::function<void(OrderResult)> done) -> void
+auto EngineDesk::give(EngineOrder order, std::function<void(OrderResult)> done) -> bool
 {
     const BackendServer *server = m_context.board.find(m_id);
     const auto authority = m_events.authority();
     if (!server || !authority)
-        return;
+        return false;
     order.holder = authority->holder;
     order.fence = authority->fence;
     order.expectedOrders = m_state.ordersAccepted;
@@ -151,6 +170,7 @@
     m_events.onOrderSent(order);
     m_call = BackendAttempt::start(m_context, *server, m_context.wire.formatOrder(m_id, order), {},
                                    std::chrono::milliseconds(0), std::move(events));
+    return true;
 }
 
 /// The count of accepted orders, and doubt about an order whose answer is missing.
@@ -192,15 +212,15 @@
     EngineOrder order;
     order.kind = EngineOrder::Kind::Load;
     order.model = model;
-    give(order, [this](OrderResult result) {
+    const bool isGiven = give(order, [this](OrderResult result) {
         if (result != OrderResult::Accepted && result != OrderResult::Unknown)
             m_coming.reset();
         m_events.onChanged();
     });
-    if (!m_call)
-        m_coming.reset();
-    else
+    if (isGiven)
         wakeAt(m_coming->dueAt);
+    else
+        m_coming.reset();
 }
 
 /// Looks at the engine at that time, and not only at the next round.
@@ -213,14 +233,11 @@
 
 auto EngineDesk::unload(const std::string &model, TimePoint) -> void
 {
-    // Requests are sent elsewhere before the engine refuses them.
-    auto adapters = m_state.models[model];
-    m_state.models.erase(model);
-    m_events.onChanged();
+    const auto adapters = m_state.models[model];
     EngineOrder order;
     order.kind = EngineOrder::Kind::Unload;
     order.model = model;
-    give(order, [this, model, adapters](OrderResult result) {
+    const bool isGiven = give(order, [this, model, adapters](OrderResult result) {
         if (result == OrderResult::Accepted) {
             m_leaving = model;
             m_state.isBusy = true; // Until the report says that the runs have ended.
@@ -232,8 +249,11 @@
         m_readySince.erase(model);
         m_events.onChanged();
     });
-    if (!m_call)
-        m_state.models[model] = adapters;
+    if (!isGiven)
+        return;
+    // Requests are sent elsewhere before the engine refuses them.
+    m_state.models.erase(model);
+    m_events.onChanged();
 }
 
 auto EngineDesk::wantAdapter(const std::string &model, const std::string &adapter, int adapterSlots,
@@ -250,7 +270,7 @@
 
 auto EngineDesk::nextAdapter(TimePoint now) -> void
 {
-    if (m_call || !m_isKnown || m_isUncertain || m_wantedAdapters.empty())
+    if (m_call || !takesAdapters() || m_wantedAdapters.empty())
         return;
     const auto [model, adapter] = m_wantedAdapters.front();
     const auto held = m_state.models.find(model);
@@ -258,12 +278,6 @@
         m_wantedAdapters.pop_front();
         return;
     }
-    if (m_leavingAdapters.count(adapterName(model, adapter)) > 0) {
-        // It can be loaded again when it has left.
-        std::rotate(m_wantedAdapters.begin(), std::next(m_wantedAdapters.begin()),
-                    m_wantedAdapters.end());
-        return;
-    }
     EngineOrder order;
     order.model = model;
     if (adapterCount() >= m_adapterSlots) {
@@ -286,9 +300,7 @@
     }
     order.kind = EngineOrder::Kind::Load;
     order.adapter = adapter;
-    m_wantedAdapters.pop_front();
-    m_comingAdapter = adapterName(model, adapter);
-    give(order, [this, model = model, adapter = adapter](OrderResult result) {
+    const bool isGiven = give(order, [this, model = model, adapter = adapter](OrderResult result) {
         m_comingAdapter.clear();
         if (result != OrderResult::Accepted && result != OrderResult::AlreadySo)
             return;
@@ -300,23 +312,30 @@
         m_context.reactor.callAfter(AdapterReadyAfter,
                                     [changed = m_events.onChanged] { changed(); });
     });
+    if (!isGiven)
+        return;
+    m_comingAdapter = adapterName(model, adapter);
+    m_wantedAdapters.pop_front();
 }
 
 auto EngineDesk::dropAdapter(const std::string &model, const std::string &adapter) -> void
 {
-    m_state.models[model].erase(adapter);
-    m_events.onChanged();
     EngineOrder order;
     order.kind = EngineOrder::Kind::Unload;
     order.model = model;
     order.adapter = adapter;
-    give(order, [this, name = adapterName(model, adapter)](OrderResult result) {
-        if (result == OrderResult::Accepted) {
-            m_leavingAdapters.insert(name);
-            m_nextLookAtLeaving = m_context.reactor.now() + ReportLag;
-        }
-        m_events.onChanged();
-    });
+    const bool isGiven =
+        give(order, [this, name = adapterName(model, adapter)](OrderResult result) {
+            if (result == OrderResult::Accepted) {
+                m_leavingAdapters.insert(name);
+                m_nextLookAtLeaving = m_context.reactor.now() + ReportLag;
+            }
+            m_events.onChanged();
+        });
+    if (!isGiven)
+        return;
+    m_state.models[model].erase(adapter);
+    m_events.onChanged();
 }
 
 /// Adapters that leave get no requests, but keep their place while the engine reports them.
--- a/src/libs/gateway/enginedesk.h
+++ b/src/libs/gateway/enginedesk.h
@@ -66,6 +66,13 @@
     auto isAdapterWanted(const std::string &model, const std::string &adapter) const -> bool;
     /// True if it loads from the weight store, or may do so by another holder's order.
     auto isLoadingFromStore() const -> bool;
+    /// True if the engine would take orders for adapters: it refuses all while it loads a model,
+    /// and while an adapter waits for its last run to end.
+    auto takesAdapters() const -> bool;
+    /// Adapters with requests under way are the last ones to make room for others.
+    auto noteAdaptersInUse(
+        const std::function<bool(const std::string &model, const std::string &adapter)> &isInUse,
+        Utils::TimePoint now) -> void;
     /// Adapters that take up a place: held, coming, or leaving after their last run.
     auto adapterCount() const -> int;
 
@@ -79,7 +86,8 @@
         Utils::TimePoint startedAt;
     };
 
-    auto give(EngineOrder order, std::function<void(OrderResult)> done) -> void;
+    /// False if the order may not be given, or the engine is gone: nothing has changed then.
+    auto give(EngineOrder order, std::function<void(OrderResult)> done) -> bool;
     auto takeOrderEnd(const EngineOrder &order, OrderResult result) -> void;
     auto askReport() -> void;
     auto takeReport(const std::string &body) -> void;
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -210,28 +210,39 @@
     });
 }
 
-/// Gives each adapter that is waited for to the engine with its model and the fewest adapters.
+/// Gives each adapter that is waited for to the engine with its model and the fewest adapters, one
+/// that takes the order now if there is any.
 auto EnginePlacement::placeAdapters(const std::string &service,
                                     const EngineDescription &description,
                                     const std::map<ModelKey, TotalDemand> &demand) -> void
 {
+    const auto isInUse = [&](const std::string &model, const std::string &adapter) {
+        const auto found = demand.find({service, model, adapter});
+        return found != demand.end() && found->second.running > 0;
+    };
+    for (auto &[key, desk] : m_desks)
+        desk->noteAdaptersInUse(isInUse, now());
     for (const auto &[key, total] : demand) {
         if (key.service != service || key.adapter.empty() || total.waiting == 0
-            || m_context.board.isHeld({service, key.model, key.adapter, {}, {}}))
+            || m_context.board.isHeld({service, key.model, key.adapter, {}, {}})
+            || isAdapterComing(key))
             continue;
         EngineDesk *best = nullptr;
         const BackendServer *bestServer = nullptr;
+        const auto rank = [](const EngineDesk &desk) {
+            return std::pair(!desk.takesAdapters(), desk.adapterCount());
+        };
         for (auto &[deskKey, desk] : m_desks) {
             const BackendServer *server = m_context.board.find(idOf(deskKey));
             if (!server || server->service != service || !desk->isKnown()
                 || desk->state().models.count(key.model) == 0)
                 continue;
-            if (!best || desk->adapterCount() < best->adapterCount()) {
+            if (!best || rank(*desk) < rank(*best)) {
                 best = desk.get();
                 bestServer = server;
             }
         }
-        if (!best || isAdapterComing(key))
+        if (!best)
             continue;
         const auto reserve = reserveAt(*bestServer);
         if (!reserve.isWhole)
--- /dev/null
+++ b/tests/auto/platform/tst_enginedesk.cpp
@@ -0,0 +1,183 @@
+// The holder's orders to one engine, while its permission comes and goes.
+
+#include <gateway/backendboard.h>
+#include <gateway/connectionpool.h>
+#include <gateway/demandtracker.h>
+#include <gateway/enginedesk.h>
+#include <gateway/gatewaycontext.h>
+#include <gateway/quotaledger.h>
+#include <gateway/waitingroom.h>
+#include <http1/clientconnection.h>
+#include <monitoring/metrics.h>
+#include <net/reactor.h>
+#include <platform/emulator/emulatedengine.h>
+#include <platform/emulator/emulatedstore.h>
+#include <platform/platformwireformat.h>
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+using Emulator::EmulatedEngine;
+using Emulator::EmulatedStore;
+using Gateway::EngineDesk;
+
+namespace {
+
+class EngineDesks : public testing::Test
+{
+protected:
+    auto SetUp() -> void override
+    {
+        store = std::make_unique<EmulatedStore>(*loop);
+        engine = std::make_unique<EmulatedEngine>(*loop, *store, "i-1", "lm",
+                                                  std::set<std::string>{"m1"});
+        board.update(*wire.parseBackend("i-1", store->value("servers", "i-1")), loop->now());
+        EngineDesk::Events events;
+        events.onChanged = [] {};
+        events.onStoreLoad = [](auto, auto) {};
+        events.onOrderSent = [this](const auto &) { ++sent; };
+        events.onOrderAnswered = [](const auto &) {};
+        events.authority = [this]() -> std::optional<Gateway::OrderAuthority> {
+            if (!mayOrder)
+                return {};
+            return Gateway::OrderAuthority{"g1", 7};
+        };
+        desk = std::make_unique<EngineDesk>(context, "i-1", std::move(events));
+        pass(50ms);
+    }
+
+    /// As the duty does, permission or not: an engine's answers and timers come at any time.
+    auto pass(std::chrono::milliseconds time) -> void
+    {
+        const auto end = loop->now() + time;
+        while (loop->now() < end) {
+            desk->tick(loop->now());
+            loop->callAfter(10ms, [this] { loop->stop(); });
+            loop->run();
+            loop->restart();
+        }
+    }
+
+    auto want(const std::string &adapter) -> void
+    {
+        desk->wantAdapter("m1", adapter, 2, loop->now());
+    }
+
+    std::unique_ptr<Net::Reactor> loop = std::move(*Net::Reactor::create());
+    Platform::PlatformWireFormat wire;
+    Gateway::BackendBoard board{"a"};
+    Gateway::ConnectionPool pool{*loop};
+    Gateway::QuotaLedger quota{true, {}};
+    Gateway::WaitingRoom waiting{*loop};
+    Gateway::DemandTracker demand;
+    Monitoring::Metrics metrics;
+    Gateway::GatewayContext context{*loop,   wire,    board, pool,    quota, waiting, demand,
+                                    metrics, nullptr, {},    nullptr, {},    nullptr};
+    std::unique_ptr<EmulatedStore> store;
+    std::unique_ptr<EmulatedEngine> engine;
+    std::unique_ptr<EngineDesk> desk;
+    bool mayOrder = true;
+    int sent = 0;
+};
+
+} // namespace
+
+// Pattern: the store is slow and the duty lapses while adapters wait for a place.
+TEST_F(EngineDesks, AdapterThatCouldNotBeDroppedKeepsItsPlace)
+{
+    want("a1");
+    want("a2");
+    pass(600ms);
+    ASSERT_EQ(engine->models().at("m1").size(), 2U);
+    mayOrder = false;
+    want("a3");
+    pass(200ms);
+    EXPECT_EQ(sent, 2);
+    EXPECT_EQ(desk->adapterCount(), 2);
+    mayOrder = true;
+    want("a3");
+    pass(400ms);
+    EXPECT_EQ(engine->overloads(), 0);
+    EXPECT_EQ(engine->models().at("m1").count("a3"), 1U);
+}
+
+TEST_F(EngineDesks, AdapterThatCouldNotBeLoadedIsWantedAgain)
+{
+    mayOrder = false;
+    want("a1");
+    pass(100ms);
+    EXPECT_EQ(engine->orders(), 0);
+    mayOrder = true;
+    want("a1");
+    pass(200ms);
+    EXPECT_EQ(engine->models().at("m1").count("a1"), 1U);
+}
+
+TEST_F(EngineDesks, ModelsAreNeitherLoadedNorDroppedWithoutPermission)
+{
+    mayOrder = false;
+    desk->load("m2", 30ms, false, loop->now());
+    pass(50ms);
+    EXPECT_EQ(desk->state().models.count("m2"), 0U);
+    desk->unload("m1", loop->now());
+    pass(50ms);
+    EXPECT_EQ(desk->state().models.count("m1"), 1U);
+    EXPECT_FALSE(desk->isBusy());
+    EXPECT_EQ(engine->orders(), 0);
+}
+
+// Pattern: an adapter is dropped while a stream uses it that nobody told of; the engine keeps it,
+// and refuses all orders, until the stream has ended.
+TEST_F(EngineDesks, AdapterThatLeavesLateKeepsItsPlace)
+{
+    want("a1");
+    pass(100ms);
+    want("a2");
+    pass(600ms);
+    engine->behaviour.eventPause = 100ms;
+    std::optional<Http1::CallEnd> ended;
+    const auto stream = std::move(*Http1::ClientConnection::connect(*loop, engine->address()));
+    stream->call("POST /x HTTP/1.1\r\nAttempt-Id: r1\r\nModel: m1/a1\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 {[](const auto &, auto) { return true; }, [](std::string_view) {},
+                  [&](Http1::CallEnd how) { ended = how; }});
+    pass(50ms);
+    const int before = sent;
+    want("a3");
+    pass(250ms);
+    EXPECT_FALSE(ended);
+    EXPECT_EQ(sent, before + 1) << "nothing is ordered while the engine refuses it";
+    EXPECT_EQ(desk->adapterCount(), 2);
+    EXPECT_EQ(desk->state().models.at("m1").count("a1"), 0U) << "it gets no requests";
+    pass(1200ms);
+    EXPECT_EQ(ended, Http1::CallEnd::Complete);
+    EXPECT_EQ(engine->overloads(), 0);
+    EXPECT_EQ(engine->models().at("m1"), (std::set<std::string>{"a2", "a3"}));
+}
+
+// Pattern: all places are taken; the adapter that was loaded first is the one that is used.
+TEST_F(EngineDesks, AdaptersWithRequestsUnderWayAreTheLastToMakeRoom)
+{
+    want("a1");
+    pass(100ms);
+    want("a2");
+    pass(600ms);
+    desk->noteAdaptersInUse([](const auto &, const auto &adapter) { return adapter == "a1"; },
+                            loop->now());
+    want("a3");
+    pass(300ms);
+    EXPECT_EQ(engine->models().at("m1"), (std::set<std::string>{"a1", "a3"}));
+}
+
+// Pattern: adapters are asked for while the engine loads a model and refuses all orders.
+TEST_F(EngineDesks, AdaptersAreNotOrderedWhileTheEngineLoadsAModel)
+{
+    engine->behaviour.loadTime = 300ms;
+    desk->load("m2", 300ms, false, loop->now());
+    want("a1");
+    pass(200ms);
+    EXPECT_EQ(sent, 1);
+    pass(500ms);
+    EXPECT_EQ(engine->models().at("m1").count("a1"), 1U);
+    EXPECT_EQ(sent, 2);
+}
