--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -17,6 +17,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace std::chrono_literals;
 using Emulator::EmulatedEngine;
 using Emulator::EmulatedStore;
@@ -566,6 +570,66 @@
     EXPECT_EQ(first.runs() + second.runs(), 3);
 }
 
+// Pattern: a lossy link; the opening packets to one server are lost, and come again after a second.
+TEST_F(Gateways, RequestWhoseOpeningPacketIsLostGoesToAnotherServer)
+{
+    const int deaf = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in own = {};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof own;
+    ASSERT_EQ(::bind(deaf, reinterpret_cast<sockaddr *>(&own), sizeof own), 0);
+    ASSERT_EQ(::listen(deaf, 0), 0);
+    ASSERT_EQ(::getsockname(deaf, reinterpret_cast<sockaddr *>(&own), &length), 0);
+    const auto place = Http1::SocketAddress::create(INADDR_LOOPBACK, ntohs(own.sin_port));
+    // Once the queue of new connections is full, packets that open others are dropped.
+    std::vector<std::unique_ptr<Http1::TcpStream>> queued;
+    for (int i = 0; i < 3; ++i)
+        queued.push_back(std::move(*Http1::TcpStream::connect(*loop, place)));
+    spin([] { return false; }, 50ms);
+    ASSERT_FALSE(queued.back()->isConnected());
+    auto &unreachable = addEngine("i-1", "app");
+    unreachable.advertisedAddress = place;
+    unreachable.announce();
+    auto &sound = addEngine("i-2", "app");
+    startReadyGateway();
+    for (int i = 0; i < 6; ++i) {
+        const auto begun = loop->now();
+        EXPECT_EQ(ask(text("/file/x", "a" + std::to_string(i)))->status, 200);
+        EXPECT_LT(loop->now() - begun, 600ms);
+    }
+    EXPECT_EQ(sound.runs(), 6);
+    ::close(deaf);
+}
+
+// Pattern: the day ends with a loss of power: every gateway and engine begins anew, and only the
+// store still knows anything.
+TEST_F(Gateways, AllThatLostPowerServesAgainFromTheStoreAlone)
+{
+    auto &app = addEngine("i-1", "app");
+    auto &lm = addEngine("i-2", "lm", {"m1"});
+    startReadyGateway();
+    EXPECT_EQ(ask(text("/file/x", "a1"))->status, 200);
+    putConfiguration(2, {{"tenants", {{{"name", "county"}, {"apiKeys", {"key2"}}}}}});
+    gateway.reset();
+    rows.reset();
+    app.crash();
+    lm.crash();
+    spin([] { return false; }, 100ms);
+    const auto begun = loop->now();
+    startGateway();
+    app.restart("i-1");
+    lm.restart("i-2");
+    ASSERT_TRUE(spin([this] { return readinessStatus() == 200; }));
+    EXPECT_EQ(ask(text("/file/x", "a2"))->status, 401) << "the newest configuration is in force";
+    const auto recovered = [&, number = 0]() mutable {
+        return ask(text("/batch/x", "b" + std::to_string(++number), m1, "key2"))->status == 200;
+    };
+    EXPECT_TRUE(spin(recovered, 11s)) << "the duty is taken anew and the model loaded";
+    EXPECT_EQ(ask(text("/file/x", "a3", {}, "key2"))->status, 200);
+    EXPECT_LT(loop->now() - begun, 12s);
+}
+
 // Pattern: an engine that leaves says so in its answers; the list still calls it ready.
 TEST_F(Gateways, ServerThatSaysItLeavesGetsNothingNew)
 {
