Soak: slow processors and slow links to the store; its numbers are checked

--slow yes adds both, drawn apart from the other faults so that earlier seeds mean what they meant. A word in place of a number is an error and no exception any more.

--- a/tests/auto/platform/soak/faultscript.cpp
+++ b/tests/auto/platform/soak/faultscript.cpp
@@ -20,7 +20,7 @@
 
 using Kind = FaultScript::Kind;
 
-constexpr std::array<const char *, 28> kindNames = {
+constexpr std::array<const char *, 30> kindNames = {
     "gateway freeze",        "gateway kill",          "gateway stop",
     "gateway hangup",        "gateway store silence", "gateway store one way",
     "gateway store reset",   "gateway store delay",   "store busy",
@@ -30,12 +30,19 @@
     "engine cuts streams",   "engine falls silent",   "engine slow",
     "engine ignores orders", "engine link delay",     "engine link reset",
     "engine link silence",   "new configuration",     "route change",
-    "key withdrawn"};
+    "key withdrawn",         "gateway slow",          "gateway store slow"};
+/// Kinds that `draw` picks from.
+constexpr size_t commonKinds = 28;
 
 constexpr milliseconds TickPause(50);
 /// A gateway that was asked to stop has so long; the emulated platform kills it then.
 constexpr milliseconds StopLimit(4200);
 constexpr milliseconds LinkDelay(120);
+/// Longer than a gateway waits before it takes an answer for lost.
+constexpr milliseconds SlowLinkDelay(700);
+/// A slow gateway runs for a part of each round.
+constexpr milliseconds StandingTime(90);
+constexpr milliseconds RunningTime(10);
 constexpr milliseconds SlowWork(400);
 /// Until the list of servers drops one that ended without a word.
 constexpr milliseconds LapseTime(3600);
@@ -44,7 +51,8 @@
 
 auto isGatewayFault(Kind kind) -> bool
 {
-    return kind <= Kind::GatewayStoreDelay;
+    return kind <= Kind::GatewayStoreDelay || kind == Kind::GatewaySlow
+        || kind == Kind::GatewayStoreSlow;
 }
 
 auto isStoreFault(Kind kind) -> bool
@@ -77,7 +85,7 @@
     while (at < length) {
         Step step;
         step.at = at;
-        step.kind = static_cast<Kind>(random() % kindNames.size());
+        step.kind = static_cast<Kind>(random() % commonKinds);
         step.target = random() % (isGatewayFault(step.kind) ? gateways : engines);
         step.lasts = milliseconds(shortestMs + random() % lengthSpreadMs);
         step.lasts = std::min(step.lasts, length - at);
@@ -87,6 +95,26 @@
     return steps;
 }
 
+auto FaultScript::drawSlowGateways(std::uint64_t seed, milliseconds length, size_t gateways)
+    -> std::vector<Step>
+{
+    constexpr std::uint64_t apart = 0x510000;
+    std::mt19937_64 random(seed + apart);
+    std::vector<Step> steps;
+    constexpr int gapMs = 3000;
+    constexpr int shortestMs = 2000;
+    constexpr int lengthSpreadMs = 5000;
+    for (milliseconds at(random() % gapMs); at < length; at += milliseconds(random() % gapMs)) {
+        Step step;
+        step.at = at;
+        step.kind = random() % 2 == 0 ? Kind::GatewaySlow : Kind::GatewayStoreSlow;
+        step.target = random() % gateways;
+        step.lasts = std::min(milliseconds(shortestMs + random() % lengthSpreadMs), length - at);
+        steps.push_back(step);
+    }
+    return steps;
+}
+
 auto FaultScript::describe(const Step &step) -> std::string
 {
     std::array<char, 128> text = {};
@@ -176,6 +204,10 @@
         return gateway.storeWire->setSilence(StandInWire::Silence::FromTarget);
     case Kind::GatewayStoreReset:
         return gateway.storeWire->reset();
+    case Kind::GatewaySlow:
+        return pulse(step);
+    case Kind::GatewayStoreSlow:
+        return gateway.storeWire->setDelay(SlowLinkDelay);
     default:
         return gateway.storeWire->setDelay(LinkDelay);
     }
@@ -255,6 +287,7 @@
     case Kind::GatewayStoreOneWay:
         return gateway->storeWire->setSilence(StandInWire::Silence::None);
     case Kind::GatewayStoreDelay:
+    case Kind::GatewayStoreSlow:
         return gateway->storeWire->setDelay(milliseconds(0));
     case Kind::StoreBusy:
     case Kind::StoreReset:
@@ -303,6 +336,20 @@
     }
 }
 
+/// Lets the process run for a part of each round while the fault lasts.
+auto FaultScript::pulse(const Step &step) -> void
+{
+    const bool isOver = std::none_of(m_active.begin(), m_active.end(),
+                                     [&](const Step &one) { return one.at == step.at; });
+    if (isOver)
+        return;
+    m_world.gateways().at(step.target).process->signal(SIGSTOP);
+    m_world.reactor().callAfter(StandingTime, [self = shared_from_this(), step] {
+        self->m_world.gateways().at(step.target).process->signal(SIGCONT);
+        self->m_world.reactor().callAfter(RunningTime, [self, step] { self->pulse(step); });
+    });
+}
+
 auto FaultScript::restartGateway(size_t index) -> void
 {
     SoakWorld::Gateway &gateway = m_world.gateways().at(index);
--- a/tests/auto/platform/soak/faultscript.h
+++ b/tests/auto/platform/soak/faultscript.h
@@ -46,6 +46,9 @@
         NewConfiguration,
         RouteChange,
         KeyWithdrawn,
+        // Drawn apart, so that seeds from before mean the same faults.
+        GatewaySlow,
+        GatewayStoreSlow,
     };
     struct Step
     {
@@ -57,6 +60,9 @@
 
     static auto draw(std::uint64_t seed, std::chrono::milliseconds length, size_t gateways,
                      size_t engines) -> std::vector<Step>;
+    /// Gateways with slow processors and slow links to the store, beside other faults.
+    static auto drawSlowGateways(std::uint64_t seed, std::chrono::milliseconds length,
+                                 size_t gateways) -> std::vector<Step>;
     static auto describe(const Step &step) -> std::string;
 
     FaultScript(SoakWorld &world, std::vector<Step> steps);
@@ -70,6 +76,7 @@
     auto beginEngineFault(const Step &step) -> void;
     auto end(const Step &step) -> void;
     auto endEngineFault(const Step &step) -> void;
+    auto pulse(const Step &step) -> void;
     auto restartGateway(size_t index) -> void;
     auto awaitStop(size_t index, Utils::TimePoint limit) -> void;
     auto noteDisturbances() -> void;
--- a/tests/auto/platform/soak/main.cpp
+++ b/tests/auto/platform/soak/main.cpp
@@ -7,9 +7,11 @@
 #include <app/daemon.h>
 #include <net/reactor.h>
 
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
+#include <optional>
 
 namespace {
 
@@ -30,17 +32,33 @@
     seconds faults{20};
     int gateways = 3;
     int callers = 36;
+    bool hasSlowGateways = false;
     std::string program;
     std::string folder;
 };
 
-auto readOptions(const App::CommandLine &line) -> Options
+/// Takes over a number that was given; false if it is none.
+template <typename Number>
+auto readNumber(const App::CommandLine &line, const std::string &name, Number &number) -> bool
+{
+    const std::string text = line.value(name, std::to_string(number));
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && number > 0)
+        return true;
+    std::fprintf(stderr, "--%s must be a number above 0, not \"%s\"\n", name.c_str(), text.c_str());
+    return false;
+}
+
+auto readOptions(const App::CommandLine &line) -> std::optional<Options>
 {
     Options options;
-    options.seed = std::stoull(line.value("seed", "1"));
-    options.faults = seconds(std::stoi(line.value("seconds", "20")));
-    options.gateways = std::stoi(line.value("gateways", "3"));
-    options.callers = std::stoi(line.value("callers", "36"));
+    int faultSeconds = 20;
+    if (!readNumber(line, "seed", options.seed) || !readNumber(line, "seconds", faultSeconds)
+        || !readNumber(line, "gateways", options.gateways)
+        || !readNumber(line, "callers", options.callers))
+        return {};
+    options.faults = seconds(faultSeconds);
+    options.hasSlowGateways = line.value("slow", "no") == "yes";
     options.program = line.value("program", "build/bin/acacia-gateway");
     options.folder = line.value("folder");
     return options;
@@ -74,8 +92,13 @@
         callers.push_back(std::make_shared<Soak::SoakCaller>(
             Soak::SoakCaller::Surroundings{reactor, world.promises(), pick}, i,
             options.seed * 1000 + static_cast<std::uint64_t>(i)));
-    const auto steps = Soak::FaultScript::draw(options.seed, options.faults,
-                                               world.gateways().size(), world.engines().size());
+    auto steps = Soak::FaultScript::draw(options.seed, options.faults, world.gateways().size(),
+                                         world.engines().size());
+    if (options.hasSlowGateways) {
+        const auto slow = Soak::FaultScript::drawSlowGateways(options.seed, options.faults,
+                                                              world.gateways().size());
+        steps.insert(steps.end(), slow.begin(), slow.end());
+    }
     for (const auto &step : steps)
         std::printf("%s\n", Soak::FaultScript::describe(step).c_str());
     const auto script = std::make_shared<Soak::FaultScript>(world, steps);
@@ -118,6 +141,7 @@
                               {{"seed", "N", "Faults and callers are drawn from it"},
                                {"seconds", "S", "How long faults come"},
                                {"gateways", "N", "Gateway processes"},
+                               {"slow", "yes|no", "Also slow processors and slow links"},
                                {"callers", "N", "Callers, one request each at a time"},
                                {"program", "FILE", "The gateway's binary"},
                                {"folder", "DIR", "For settings and logs of the gateways"}});
@@ -125,8 +149,10 @@
         std::fprintf(stderr, "%s\n", line ? "--folder is missing" : line.error().c_str());
         return App::ExitCode::BadUsage;
     }
-    const Options options = readOptions(*line);
-    std::filesystem::create_directories(options.folder);
+    const auto options = readOptions(*line);
+    if (!options)
+        return App::ExitCode::BadUsage;
+    std::filesystem::create_directories(options->folder);
     // Wires write to connections that the other end may have reset.
     std::signal(SIGPIPE, SIG_IGN);
     auto reactor = Net::Reactor::create();
@@ -134,5 +160,5 @@
         std::fprintf(stderr, "%s\n", reactor.error().c_str());
         return App::ExitCode::Failure;
     }
-    return play(**reactor, options);
+    return play(**reactor, *options);
 }
--- a/tests/e2e/soak.sh
+++ b/tests/e2e/soak.sh
@@ -5,11 +5,11 @@
 work=$(mktemp -d)
 failures=0
 play() {
-    build/bin/acacia-soak --seed "$1" --seconds "$2" --folder "$work/$1" >"$work/$1.out" 2>&1
+    build/bin/acacia-soak --seed "$1" --seconds "$2" --slow "$3" --folder "$work/$1" >"$work/$1.out" 2>&1
     echo $? >"$work/$1.rc"
 }
-while read -r seed seconds _; do
-    [[ $seed =~ ^[0-9]+$ ]] && play "$seed" "$seconds" &
+while read -r seed seconds slow _; do
+    [[ $seed =~ ^[0-9]+$ ]] && play "$seed" "$seconds" "$slow" &
 done <tests/auto/platform/soak/seeds.txt
 wait
 for rc in "$work"/*.rc; do
