Changes of servers are gathered for a part of the notice that leaving ones give

The pause has to fit the notice of the site: 2 s on the small ones, 3 s grown, 4 s large. Ruled out: fewer questions for the configuration, which must be known at once.

Change: pause of 0.3 of the notice (settings: leaveNoticeMs), patience 0.1 s beyond it. tst_tablefollower GatheredChanges... holds questions and the notice at 2, 3 and 4 s, one question swallowed.

--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -11,7 +11,7 @@
 namespace Gateway {
 
 BackendFollower::BackendFollower(GatewayContext &context, RowStore &store, std::string table,
-                                 Events events)
+                                 std::chrono::milliseconds pause, Events events)
     : m_context(context)
     , m_events(std::move(events))
 {
@@ -28,8 +28,8 @@
             m_regainedAt = m_context.reactor.now();
         Utils::logEvent(Utils::Event::StoreRegained, {{"what", "servers"}});
     };
-    m_follower = std::make_unique<TableFollower>(context.reactor, store, std::move(table),
-                                                 Constants::ServerListPause, std::move(following));
+    m_follower = std::make_unique<TableFollower>(context.reactor, store, std::move(table), pause,
+                                                 std::move(following));
 }
 
 BackendFollower::~BackendFollower()
--- a/src/libs/gateway/backendfollower.h
+++ b/src/libs/gateway/backendfollower.h
@@ -25,7 +25,9 @@
         std::function<void()> onChanged;
     };
 
-    BackendFollower(GatewayContext &context, RowStore &store, std::string table, Events events);
+    /// Changes are gathered for `pause`.
+    BackendFollower(GatewayContext &context, RowStore &store, std::string table,
+                    std::chrono::milliseconds pause, Events events);
     ~BackendFollower();
 
     auto start() -> void;
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -8,12 +8,14 @@
 /// this long after, and the time for an answer: within the five seconds after the store's return in
 /// which a change of then must be known. Each question is paid for, so it is not shorter.
 constexpr std::chrono::milliseconds ChangesWait(2500);
-/// Pause between two questions for changed servers. Engines write an entry at each load; what must
-/// be known within two seconds is that one leaves.
-constexpr std::chrono::milliseconds ServerListPause(600);
+/// Pause between two questions for changed servers, as a part of the notice that leaving ones give.
+/// Engines write an entry at each load, and each question is paid for; what must be known in time
+/// is that one leaves.
+constexpr double ServerListPauseShare = 0.3;
 /// Others may know a newer row for this long at least before a question to the store counts as
-/// swallowed: answers on servers are gathered, those on the configuration come at once.
-constexpr std::chrono::milliseconds ServerListPatience(700);
+/// swallowed: answers on servers are gathered for the pause, those on the configuration come at
+/// once.
+constexpr std::chrono::milliseconds ServerListPatienceBeyondPause(100);
 constexpr std::chrono::milliseconds ConfigurationPatience(300);
 /// First and longest pause before the store is asked again after a failure. Refused calls are
 /// paid for too, and a change must be known two seconds after it was made.
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -45,8 +45,7 @@
     std::function<void(const std::string &backendId, const std::string &fingerprint)> onSuspect;
 
     /// A server, started at that Unix time, said in an answer that it leaves.
-    std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onLeaving =
-        nullptr;
+    std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onLeaving = nullptr;
     std::function<void()> onQuotaLack = nullptr; ///< A request found too little quota.
     std::function<void()> onModelWanted = nullptr; ///< A request waits for a model.
     bool isStopping = false; ///< New requests are refused.
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -100,9 +100,15 @@
     std::unique_ptr<Net::PeriodicTimer> logTimer;
     std::unique_ptr<Net::PeriodicTimer> stopTimer;
     FreshnessWatch configurationWatch{Constants::ConfigurationPatience};
-    FreshnessWatch serverWatch{Constants::ServerListPatience};
+    FreshnessWatch serverWatch{serverListPause() + Constants::ServerListPatienceBeyondPause};
     bool draining = false;
 
+    auto serverListPause() const -> milliseconds
+    {
+        return std::chrono::duration_cast<milliseconds>(settings.leaveNotice
+                                                        * Constants::ServerListPauseShare);
+    }
+
     auto isReady() const -> bool
     {
         return !draining && context.configuration && backendFollower->follower().isCaughtUp();
@@ -181,8 +187,8 @@
             crashWatch.noteGone(id, reactor.now());
         };
         backendEvents.onChanged = [this] { waiting.wake(); };
-        backendFollower = std::make_unique<BackendFollower>(context, store, wire.backendTable(),
-                                                            std::move(backendEvents));
+        backendFollower = std::make_unique<BackendFollower>(
+            context, store, wire.backendTable(), serverListPause(), std::move(backendEvents));
         placement = std::make_unique<PlacementDuty>(
             context, store, *link, PlacementDuty::Identity{settings.name, settings.peerAddress},
             settings.placement);
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -76,7 +76,8 @@
     bool isSigned = false; ///< It bears a server's signature.
     bool isOtherServer = false; ///< Another incarnation has the address, or the model isn't there.
     bool isLeaving = false; ///< The server is about to end and wants no new requests.
-    std::optional<std::chrono::milliseconds> pause; ///< It wants no requests of this gateway so long.
+    std::optional<std::chrono::milliseconds>
+        pause; ///< It wants no requests of this gateway so long.
     bool isEncoded = false; ///< Not the body that the server made.
     std::optional<std::string> otherServerId;
     std::optional<BackendLoad> load;
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -24,10 +24,12 @@
 class Followed
 {
 public:
-    explicit Followed(std::chrono::milliseconds gatherPause = 0ms)
+    explicit Followed(
+        std::chrono::milliseconds gatherPause = 0ms,
+        std::chrono::milliseconds patience = Gateway::Constants::ConfigurationPatience)
         : store(scheduler)
         , m_follower(scheduler, store, "table", gatherPause, events())
-        , m_watch(Gateway::Constants::ConfigurationPatience)
+        , m_watch(patience)
     { }
 
     auto start() -> void
@@ -180,6 +182,39 @@
     EXPECT_LE(followed.store.calls() - before, 11);
 }
 
+// Pattern: engines write their entries all the time. Gathering their changes must save questions,
+// and peers that always know more must not bring them back; a server that leaves is known within
+// its notice even if the question was swallowed.
+TEST(TableFollower, GatheredChangesCostFewQuestionsAndAreKnownWithinTheNotice)
+{
+    for (const auto notice : {2000ms, 3000ms, 4000ms}) {
+        const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+            notice * Gateway::Constants::ServerListPauseShare);
+        Followed followed(pause, pause + Gateway::Constants::ServerListPatienceBeyondPause);
+        followed.store.put("engine", "0");
+        followed.start();
+        followed.pass(1s);
+        const int before = followed.store.calls();
+        constexpr auto time = 30s;
+        for (auto passed = 0ms; passed < time; passed += 50ms) {
+            followed.store.put("engine", std::to_string(passed.count()));
+            followed.pass(50ms);
+        }
+        EXPECT_LE(followed.store.calls() - before, time / pause + 1) << notice.count();
+        EXPECT_EQ(followed.hurries, 0);
+        for (auto offset = 0ms; offset < pause; offset += 100ms) {
+            followed.pass(10s + offset);
+            followed.store.swallows = true;
+            followed.store.put("a", std::to_string(offset.count()));
+            followed.pass(pause);
+            followed.store.swallows = false;
+            const auto version = followed.store.put("b", std::to_string(offset.count()));
+            followed.pass(notice);
+            EXPECT_GE(followed.newestRow(), version) << notice.count() << ' ' << offset.count();
+        }
+    }
+}
+
 TEST(TableFollower, ForgottenHistoryIsReadAnewWithWhatWasRemoved)
 {
     Followed followed;
@@ -221,8 +256,7 @@
                 followed.hurry();
                 break;
             case 4:
-                followed.store.answerTime =
-                    std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
+                followed.store.answerTime = std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
                 break;
             default:
                 followed.store.put(key, std::to_string(i));
