A gateway that is behind says so with what it knows and what others know

It now names the table, both row versions and the store's answer time; pauses that servers ask for have an event.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -7,6 +7,7 @@
 
 #include <http1/clientconnection.h>
 #include <net/reactor.h>
+#include <utils/eventlog.h>
 
 namespace Gateway {
 
@@ -48,8 +49,12 @@
             return;
         if (answer.isLeaving && context->onLeaving)
             context->onLeaving(backendId, startedAtMs);
-        if (answer.pause)
-            context->board.notePause(backendId, context->reactor.now() + *answer.pause);
+        if (!answer.pause)
+            return;
+        context->board.notePause(backendId, context->reactor.now() + *answer.pause);
+        Utils::logEvent(
+            Utils::Event::BackendPaused,
+            {{"server", backendId}, {"request", attemptId}, {"pauseMs", answer.pause->count()}});
     }
 
     auto end(AttemptEnd how) -> void
--- a/src/libs/gateway/freshnesswatch.h
+++ b/src/libs/gateway/freshnesswatch.h
@@ -18,6 +18,8 @@
     /// How long answers take here; one that takes a little longer is not lost yet.
     auto noteAnswerTime(Utils::Duration answerTime) -> void;
 
+    /// Version of the newest row that another gateway told of.
+    auto newestAtPeers() const -> std::uint64_t { return m_peerVersion; }
     /// The newest row that another gateway knows.
     auto notePeer(std::uint64_t version, Utils::TimePoint now) -> void;
     /// True if the store should be asked anew. Repeats become rarer until something newer is known:
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -210,7 +210,7 @@
             configurationWatch.notePeer(peer.configurationRow, reactor.now());
             serverWatch.notePeer(peer.serverRow, reactor.now());
         };
-        knowledge.onStoreBack = [this] { askAnew("store back", true, true); };
+        knowledge.onStoreBack = [this] { askAllAnew("store back"); };
         knowledge.onGateways = [this](int count) { setGateways(count); };
         knowledge.onPartsConfirmed = [this] { quota.confirmParts(reactor.now()); };
         placement->setKnowledgeEvents(std::move(knowledge));
@@ -243,27 +243,37 @@
     }
 
     /// Asks the store beside the open questions, which it may have swallowed.
-    auto askAnew(const char *reason, bool configuration, bool servers) -> void
+    auto askAnew(const char *reason, const char *what, TableFollower &follower,
+                 const FreshnessWatch &watch) -> void
     {
         Utils::logEvent(
             Utils::Event::StoreAskedAnew,
-            {{"reason", reason}, {"configuration", configuration}, {"servers", servers}});
-        if (configuration)
-            configurationFollower->hurry();
-        if (servers)
-            backendFollower->follower().hurry();
+            {{"reason", reason},
+             {"what", what},
+             {"rowVersion", follower.newestRow()},
+             {"othersRowVersion", watch.newestAtPeers()},
+             {"answerMs",
+              std::chrono::duration_cast<milliseconds>(follower.answerTime()).count()}});
+        follower.hurry();
+    }
+
+    auto askAllAnew(const char *reason) -> void
+    {
+        askAnew(reason, "configuration", *configurationFollower, configurationWatch);
+        askAnew(reason, "servers", backendFollower->follower(), serverWatch);
     }
 
     auto checkFreshness() -> void
     {
         const auto now = reactor.now();
+        TableFollower &servers = backendFollower->follower();
         configurationWatch.noteAnswerTime(configurationFollower->answerTime());
-        serverWatch.noteAnswerTime(backendFollower->follower().answerTime());
-        const bool configuration =
-            configurationWatch.isDue(configurationFollower->newestRow(), now);
-        const bool servers = serverWatch.isDue(backendFollower->follower().newestRow(), now);
-        if (configuration || servers)
-            askAnew("others know more", configuration, servers);
+        serverWatch.noteAnswerTime(servers.answerTime());
+        const char *const reason = "others know more";
+        if (configurationWatch.isDue(configurationFollower->newestRow(), now))
+            askAnew(reason, "configuration", *configurationFollower, configurationWatch);
+        if (serverWatch.isDue(servers.newestRow(), now))
+            askAnew(reason, "servers", servers, serverWatch);
     }
 
     auto setGateways(int count) -> void
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -121,6 +121,8 @@
          "An entry, report or message could not be read and was left out."},
         {Event::BackendChanged, "backend-changed",
          "A backend server is new, restarted, leaving or back."},
+        {Event::BackendPaused, "backend-paused",
+         "A backend server wants no requests of this gateway for a while."},
         {Event::BackendLeaving, "backend-leaving",
          "A backend server said in an answer that it leaves; it gets nothing new."},
         {Event::GatewayGivenUp, "gateway-given-up",
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -30,6 +30,7 @@
     StoreAskedAnew = 211,
     GatewayGivenUp = 212,
     BackendLeaving = 213,
+    BackendPaused = 214,
     RequestRefused = 300,
     RequestServed = 301,
     RequestRetried = 302,
