--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -115,8 +115,8 @@
         return;
     const bool loadIsDue = m_coming && now >= m_coming->dueAt;
     const bool leavingIsDue = !m_leavingAdapters.empty() && now >= m_nextLookAtLeaving;
-    const bool reportIsDue = !m_isKnown || m_isUncertain || loadIsDue || leavingIsDue
-        || (!m_coming && m_state.isBusy);
+    const bool reportIsDue =
+        !m_isKnown || m_isUncertain || loadIsDue || leavingIsDue || (!m_coming && m_state.isBusy);
     if (!reportIsDue)
         nextAdapter(now);
     else if (now >= m_nextReport)
--- a/src/libs/gateway/freshnesswatch.cpp
+++ b/src/libs/gateway/freshnesswatch.cpp
@@ -23,8 +23,8 @@
 
 auto FreshnessWatch::noteAnswerTime(Duration answerTime) -> void
 {
-    m_patience = std::clamp<Duration>(answerTime * PatienceInAnswerTimes, m_leastPatience,
-                                      LongestPatience);
+    m_patience =
+        std::clamp<Duration>(answerTime * PatienceInAnswerTimes, m_leastPatience, LongestPatience);
 }
 
 auto FreshnessWatch::notePeer(std::uint64_t version, TimePoint now) -> void
--- a/src/libs/http1/http1constants.h
+++ b/src/libs/http1/http1constants.h
@@ -13,8 +13,8 @@
 /// Blocks taken from one socket in a row; a peer that sends without end would else stop all others
 /// and the timers.
 constexpr int MostReadsInARow = 8;
-/// Answers to earlier calls and interim ones that are passed over before a call's own, and the bytes
-/// of their bodies; a peer that sends more is not answering.
+/// Answers to earlier calls and interim ones that are passed over before a call's own, and the
+/// bytes of their bodies; a peer that sends more is not answering.
 constexpr int MostSkippedAnswers = 8;
 constexpr size_t MostSkippedBytes = 1 << 20;
 /// Time for the peer to take the last answer before its connection is dropped.
--- a/tests/auto/platform/tst_rowstoreclient.cpp
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -31,8 +31,7 @@
                                  [this](Http1::StreamEnd) { closed = true; }});
             }));
         client = std::make_unique<Platform::RowStoreClient>(
-            *loop,
-            *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port())));
+            *loop, *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port())));
     }
 
     auto sendMore() -> void
@@ -82,8 +81,8 @@
 TEST_F(RowStoreCalls, AnswerThatKeepsComingIsWaitedFor)
 {
     const std::string body = "{\"rows\":[],\"ver\":7}";
-    opening = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + 20)
-        + "\r\n\r\n" + body;
+    opening = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + 20) + "\r\n\r\n"
+        + body;
     piece = " ";
     pieces = 20;
     pause = 100ms;
--- a/tests/auto/shared/slowrowstore.h
+++ b/tests/auto/shared/slowrowstore.h
@@ -95,9 +95,8 @@
 
     auto answer(Gateway::RowSet set, RowsCallback done) -> void
     {
-        m_scheduler.callAfter(answerTime, [set = std::move(set), done = std::move(done)] {
-            done(set);
-        });
+        m_scheduler.callAfter(answerTime,
+                              [set = std::move(set), done = std::move(done)] { done(set); });
     }
 
     /// As the client ends a call that gets no answer.
