An adapter that waits long takes the place of one in use

Found in reading the diff: since adapters with requests under way are the last to make room, an engine whose adapters are all in use all the time would never load another one, and its place in line there kept it from other engines. After a second it takes the place of the one used least recently, which leaves after its last run. Test: AdapterThatWaitsLongGetsAPlaceAllTheSame (with no limit it waits for ever).

--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds AdapterReadyAfter(20);
 /// An adapter used within this time is not dropped for another.
 constexpr std::chrono::milliseconds AdapterStay(400);
+/// An adapter that waited this long for a place takes that of another one, in use or not.
+constexpr std::chrono::milliseconds LongestAdapterWait(1000);
 /// Requests for adapters that are kept while an engine works on one.
 constexpr size_t MostWantedAdapters = 16;
 
@@ -260,11 +262,8 @@
                              TimePoint now) -> void
 {
     m_adapterSlots = adapterSlots;
-    const std::pair wanted(model, adapter);
-    if (std::find(m_wantedAdapters.begin(), m_wantedAdapters.end(), wanted)
-            == m_wantedAdapters.end()
-        && m_wantedAdapters.size() < MostWantedAdapters)
-        m_wantedAdapters.push_back(wanted);
+    if (!isInLine(model, adapter) && m_wantedAdapters.size() < MostWantedAdapters)
+        m_wantedAdapters.push_back({model, adapter, now});
     tick(now);
 }
 
@@ -272,7 +271,7 @@
 {
     if (m_call || !takesAdapters() || m_wantedAdapters.empty())
         return;
-    const auto [model, adapter] = m_wantedAdapters.front();
+    const auto [model, adapter, since] = m_wantedAdapters.front();
     const auto held = m_state.models.find(model);
     if (held == m_state.models.end() || held->second.count(adapter) > 0) {
         m_wantedAdapters.pop_front();
@@ -283,7 +282,8 @@
     if (adapterCount() >= m_adapterSlots) {
         std::string oldestModel;
         std::string oldestAdapter;
-        TimePoint oldest = now - AdapterStay;
+        // One that has waited long takes the place of one in use, which leaves after its last run.
+        TimePoint oldest = now - since > LongestAdapterWait ? TimePoint::max() : now - AdapterStay;
         for (const auto &[other, adapters] : m_state.models) {
             for (const std::string &name : adapters) {
                 const TimePoint used = m_adapterUsed[adapterName(other, name)];
@@ -352,9 +352,14 @@
 {
     const auto held = m_state.models.find(model);
     return (held != m_state.models.end() && held->second.count(adapter) > 0)
-        || m_comingAdapter == adapterName(model, adapter)
-        || std::find(m_wantedAdapters.begin(), m_wantedAdapters.end(), std::pair(model, adapter))
-        != m_wantedAdapters.end();
+        || m_comingAdapter == adapterName(model, adapter) || isInLine(model, adapter);
+}
+
+auto EngineDesk::isInLine(const std::string &model, const std::string &adapter) const -> bool
+{
+    return std::any_of(m_wantedAdapters.begin(), m_wantedAdapters.end(), [&](const auto &wanted) {
+        return wanted.model == model && wanted.adapter == adapter;
+    });
 }
 
 auto EngineDesk::askReport() -> void
--- a/src/libs/gateway/enginedesk.h
+++ b/src/libs/gateway/enginedesk.h
@@ -86,6 +86,13 @@
         Utils::TimePoint startedAt;
     };
 
+    struct WantedAdapter
+    {
+        std::string model;
+        std::string adapter;
+        Utils::TimePoint since;
+    };
+
     /// False if the order may not be given, or the engine is gone: nothing has changed then.
     auto give(EngineOrder order, std::function<void(OrderResult)> done) -> bool;
     auto takeOrderEnd(const EngineOrder &order, OrderResult result) -> void;
@@ -95,6 +102,7 @@
     auto nextAdapter(Utils::TimePoint now) -> void;
     auto dropAdapter(const std::string &model, const std::string &adapter) -> void;
     auto hideLeavingAdapters() -> void;
+    auto isInLine(const std::string &model, const std::string &adapter) const -> bool;
     auto retire(std::unique_ptr<BackendAttempt> attempt) -> void;
 
     GatewayContext &m_context;
@@ -106,7 +114,7 @@
     std::string m_leaving; ///< Model that is being unloaded.
     std::map<std::string, Utils::TimePoint> m_readySince;
     std::map<std::string, Utils::TimePoint> m_adapterUsed; ///< By "model/adapter".
-    std::list<std::pair<std::string, std::string>> m_wantedAdapters;
+    std::list<WantedAdapter> m_wantedAdapters;
     /// As "model/adapter": ordered to leave, and in the engine until their runs have ended.
     std::set<std::string> m_leavingAdapters;
     Utils::TimePoint m_nextLookAtLeaving;
--- a/tests/auto/platform/tst_enginedesk.cpp
+++ b/tests/auto/platform/tst_enginedesk.cpp
@@ -169,6 +169,26 @@
     EXPECT_EQ(engine->models().at("m1"), (std::set<std::string>{"a1", "a3"}));
 }
 
+// Pattern: all adapters of an engine are in use all the time, and another one is asked for.
+TEST_F(EngineDesks, AdapterThatWaitsLongGetsAPlaceAllTheSame)
+{
+    want("a1");
+    pass(100ms);
+    want("a2");
+    pass(600ms);
+    const auto allInUse = [](const auto &, const auto &) { return true; };
+    desk->noteAdaptersInUse(allInUse, loop->now());
+    want("a3");
+    const auto begun = loop->now();
+    while (engine->models().at("m1").count("a3") == 0 && loop->now() - begun < 3s) {
+        desk->noteAdaptersInUse(allInUse, loop->now());
+        pass(20ms);
+    }
+    EXPECT_GT(loop->now() - begun, 900ms);
+    EXPECT_LT(loop->now() - begun, 1500ms);
+    EXPECT_EQ(engine->overloads(), 0);
+}
+
 // Pattern: adapters are asked for while the engine loads a model and refuses all orders.
 TEST_F(EngineDesks, AdaptersAreNotOrderedWhileTheEngineLoadsAModel)
 {
