Soaks that run side by side no longer take each other's ports

Cause: a gateway's port is free until it starts, and again after each kill. Change: each soak's gateways listen at a loopback address of its own.

--- a/tests/auto/platform/soak/soakworld.cpp
+++ b/tests/auto/platform/soak/soakworld.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 namespace Soak {
 
 using nlohmann::json;
@@ -101,10 +103,16 @@
 
 auto SoakWorld::freeAddress() -> Http1::SocketAddress
 {
-    // Others may take the port in between; the gateway then ends with an error, which is seen.
+    // Gateways take their port only when they start, and again after each kill. Soaks that run side
+    // by side have a loopback address each, so that none takes the port of another one's gateway.
+    constexpr std::uint32_t loopbackNet = 127U << 24;
+    constexpr std::uint32_t ownNetStart = 1U << 16;
+    constexpr std::uint32_t processBits = 0x3fffff;
+    const auto process = static_cast<std::uint32_t>(::getpid()) & processBits;
     Emulator::Sessions probe(m_reactor, nullptr, nullptr);
     probe.open();
-    return probe.address();
+    return Http1::SocketAddress::create(loopbackNet + ownNetStart + process,
+                                        probe.address().port());
 }
 
 auto SoakWorld::addEngine(const std::string &service, const std::set<std::string> &models)
