--- a/tests/auto/platform/soak/soakworld.cpp
+++ b/tests/auto/platform/soak/soakworld.cpp
@@ -109,10 +109,14 @@
     constexpr std::uint32_t ownNetStart = 1U << 16;
     constexpr std::uint32_t processBits = 0x3fffff;
     const auto process = static_cast<std::uint32_t>(::getpid()) & processBits;
-    Emulator::Sessions probe(m_reactor, nullptr, nullptr);
-    probe.open();
-    return Http1::SocketAddress::create(loopbackNet + ownNetStart + process,
-                                        probe.address().port());
+    // The system may offer a port again that no gateway uses yet.
+    std::uint16_t port = 0;
+    do {
+        Emulator::Sessions probe(m_reactor, nullptr, nullptr);
+        probe.open();
+        port = probe.address().port();
+    } while (!m_givenPorts.insert(port).second);
+    return Http1::SocketAddress::create(loopbackNet + ownNetStart + process, port);
 }
 
 auto SoakWorld::addEngine(const std::string &service, const std::set<std::string> &models)
--- a/tests/auto/platform/soak/soakworld.h
+++ b/tests/auto/platform/soak/soakworld.h
@@ -8,6 +8,7 @@
 #include <standins/standinwire.h>
 #include <utils/result.h>
 
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -69,6 +70,7 @@
     std::vector<Gateway> m_gateways;
     std::vector<Engine> m_engines;
     int m_version = 0;
+    std::set<std::uint16_t> m_givenPorts; ///< Of gateways.
     int m_engineNames = 0;
     bool m_hasNewRoute = true;
     bool m_hasWithdrawnKey = true;
