--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -117,6 +117,24 @@
     }
 }
 
+// Guards against DENIED of issue 22: a configuration with very many routes on a slow link. Repeated
+// questions share the link with the answer that is on its way, and must not keep it from arriving.
+TEST(TableFollower, LargeAnswerIsNotDelayedByRepeatedQuestions)
+{
+    for (const auto transferTime : {400ms, 800ms, 1600ms, 2200ms}) {
+        Followed followed;
+        followed.store.put("config", "0");
+        followed.start();
+        followed.pass(2s);
+        followed.store.transferTime = transferTime;
+        const auto version = followed.store.put("config", "1");
+        // One time-out of a question that was lost, beside the transfer itself.
+        followed.pass(transferTime + Gateway::Constants::ConfigurationPatience + 50ms);
+        EXPECT_GE(followed.newestRow(), version) << transferTime.count();
+        EXPECT_EQ(followed.hurries, 0) << transferTime.count();
+    }
+}
+
 // Pattern: the same while the follower still reads the table for the first time.
 TEST(TableFollower, FirstReadIsNotStartedOverWhileItsAnswerIsOnTheWay)
 {
--- /dev/null
+++ b/tests/auto/platform/gatewayfixture.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "calleranswer.h"
+
+#include <gateway/dutymessages.h>
+#include <gateway/gatewayserver.h>
+#include <gateway/gatewaysettings.h>
+#include <gateway/peerlink.h>
+#include <http1/clientconnection.h>
+#include <net/reactor.h>
+#include <platform/emulator/emulatedengine.h>
+#include <platform/emulator/emulatedstore.h>
+#include <platform/platformwireformat.h>
+#include <platform/rowstoreclient.h>
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+using Emulator::EmulatedEngine;
+using Emulator::EmulatedStore;
+using nlohmann::json;
+
+/// A gateway between callers, emulated backend servers and an emulated store, on loopback.
+class Gateways : public testing::Test
+{
+protected:
+    auto SetUp() -> void override
+    {
+        loop = std::move(*Net::Reactor::create());
+        store = std::make_unique<EmulatedStore>(*loop);
+        putConfiguration(1);
+    }
+
+    auto putConfiguration(int version, const json &changes = json::object()) -> void
+    {
+        const auto route = [](const std::string &prefix, const std::string &kind,
+                              const std::string &service, bool resumable, int attempts) {
+            return json{{"name", "r" + prefix},   {"host", "h.example"}, {"prefix", prefix},
+                        {"routeType", kind},      {"timeoutMs", 1500},   {"targetLatencyMs", 100},
+                        {"priority", 0},          {"service", service},  {"maxAttempts", attempts},
+                        {"resumable", resumable}, {"gapAimMs", 250}};
+        };
+        json models = json::array();
+        for (const char *name : {"m1", "m2", "m3"})
+            models.push_back({{"name", name},
+                              {"weightsMb", 60000.0},
+                              {"loadS", 0.05},
+                              {"adapters", 3},
+                              {"adapterMb", 10.0},
+                              {"warmS", 0.03},
+                              {"diskS", 0.03}});
+        json configuration = {
+            {"version", version},
+            {"routes",
+             {route("/look/", "safe", "app", false, 2), route("/file/", "unsafe", "app", false, 2),
+              route("/draft/", "streaming", "lm", false, 1),
+              route("/batch/", "streaming", "lm", true, 2)}},
+            {"services",
+             {{{"name", "app"}},
+              {{"name", "lm"},
+               {"engine",
+                {{"slots", 8},
+                 {"weightsMb", 130000.0},
+                 {"adapterSlots", 2},
+                 {"loadsPerS", 10.0},
+                 {"models", models}}}}}},
+            {"limits",
+             {{"maxHeaderBytes", 4096},
+              {"maxBodyBytes", 100000},
+              {"headerTimeoutMs", 1000},
+              {"idleTimeoutMs", 5000}}},
+            {"tenants",
+             {{{"name", "county"},
+               {"apiKeys", {"key1", "key2"}},
+               {"unit", "token_stream"},
+               {"plainTokens", 10},
+               {"ratePerS", 100000},
+               {"burst", 100000}}}}};
+        configuration.update(changes);
+        store->put("op", "config", configuration.dump());
+    }
+
+    auto startGateway() -> void
+    {
+        Gateway::GatewaySettings settings;
+        settings.name = "g1";
+        settings.failureDomain = "a";
+        settings.callerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        settings.storeAddress = store->address();
+        settings.isFirstStart = true;
+        settings.retryRatio = 0.2;
+        settings.retrySlack = 50;
+        address = settings.callerAddress;
+        readiness = settings.readinessAddress;
+        peers = settings.peerAddress;
+        rows = std::make_unique<Platform::RowStoreClient>(*loop, settings.storeAddress);
+        auto created = Gateway::GatewayServer::create(*loop, settings, *rows, wire);
+        ASSERT_TRUE(created) << created.error();
+        gateway = std::move(*created);
+    }
+
+    auto startReadyGateway() -> void
+    {
+        startGateway();
+        ASSERT_TRUE(spin([this] { return readinessStatus() == 200; }));
+    }
+
+    static auto freePort() -> std::string
+    {
+        auto probeLoop = std::move(*Net::Reactor::create());
+        Emulator::Sessions probe(*probeLoop, nullptr, nullptr);
+        probe.open();
+        return std::to_string(probe.address().port());
+    }
+
+    auto readinessStatus() -> int
+    {
+        auto answer = std::make_shared<CallerAnswer>();
+        callRaw(*answer, readiness, "GET /-/readiness HTTP/1.1\r\n\r\n");
+        spin([&] { return answer->end.has_value(); });
+        return answer->status;
+    }
+
+    auto callRaw(CallerAnswer &answer, const Http1::SocketAddress &to, const std::string &bytes)
+        -> void
+    {
+        answer.connection = std::move(*Http1::ClientConnection::connect(*loop, to));
+        answer.connection->call(bytes,
+                                {[&answer](const Http1::ResponseHead &head, Http1::Framing) {
+                                     answer.status = head.status;
+                                     answer.fields = head.fields;
+                                     return true;
+                                 },
+                                 [&answer](std::string_view data) { answer.body += data; },
+                                 [&answer](Http1::CallEnd how) { answer.end = how; }});
+    }
+
+    auto text(const std::string &target, const std::string &id, const std::string &extra = {},
+              const std::string &key = "key1") -> std::string
+    {
+        return "POST " + target + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
+            + "\r\nAuthorization: Bearer " + key + "\r\nDeadline-Ms: 1400\r\n" + extra
+            + "Content-Length: 4\r\n\r\nbody";
+    }
+
+    auto ask(const std::string &bytes) -> std::shared_ptr<CallerAnswer>
+    {
+        auto answer = std::make_shared<CallerAnswer>();
+        callRaw(*answer, address, bytes);
+        spin([&] { return answer->end.has_value(); });
+        return answer;
+    }
+
+    auto spin(const std::function<bool()> &until, std::chrono::milliseconds most = 4s) -> bool
+    {
+        const auto limit = loop->now() + most;
+        while (!until() && loop->now() < limit) {
+            loop->restart();
+            loop->callAfter(1ms, [this] { loop->stop(); });
+            loop->run();
+        }
+        return until();
+    }
+
+    auto addEngine(const std::string &id, const std::string &service,
+                   std::set<std::string> models = {}) -> EmulatedEngine &
+    {
+        engines.push_back(
+            std::make_unique<EmulatedEngine>(*loop, *store, id, service, std::move(models)));
+        return *engines.back();
+    }
+
+    static auto events(const std::string &body) -> std::vector<int>
+    {
+        std::vector<int> ids;
+        for (size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
+            ids.push_back(std::stoi(body.substr(at + 4)));
+        return ids;
+    }
+
+    const std::vector<int> allEvents = {1, 2, 3, 4, 5};
+    std::unique_ptr<Net::Reactor> loop;
+    std::unique_ptr<EmulatedStore> store;
+    std::vector<std::unique_ptr<EmulatedEngine>> engines;
+    Platform::PlatformWireFormat wire;
+    std::unique_ptr<Platform::RowStoreClient> rows;
+    std::unique_ptr<Gateway::GatewayServer> gateway;
+    Http1::SocketAddress address;
+    Http1::SocketAddress readiness;
+    Http1::SocketAddress peers; ///< Where the gateway takes datagrams.
+};
--- /dev/null
+++ b/tests/auto/platform/tst_denials.cpp
@@ -0,0 +1,162 @@
+// Requests that are denied for good (404, 401, 413, 431) by a configuration that may have aged.
+
+#include "gatewayfixture.h"
+
+#include <gateway/gatewayconstants.h>
+#include <http1/socketaddress.h>
+
+namespace {
+
+class Denials : public Gateways
+{
+protected:
+    /// As another gateway tells that it knows a newer row of the configuration.
+    auto tellOfNewerRow(std::uint64_t row) -> void
+    {
+        const auto own = Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        const auto link =
+            std::move(*Gateway::PeerLink::open(*loop, *own, [](const auto &, auto) {}));
+        Gateway::HolderMessage message;
+        message.name = "g2";
+        message.lease = 1000;
+        message.gateways = 2;
+        message.seen.configurationRow = row;
+        link->send(peers, message.toJson());
+        spin([] { return false; }, 50ms);
+    }
+
+    /// The store swallows all questions, also the one for changes that was open.
+    auto silenceStore() -> void
+    {
+        store->setMode(EmulatedStore::Mode::Silent);
+        spin([] { return false; }, Gateway::Constants::ChangesWait + 100ms);
+    }
+
+    static auto withRoute(const std::string &prefix) -> json
+    {
+        return {{"routes",
+                 {{{"name", "new"},
+                   {"host", "h.example"},
+                   {"prefix", prefix},
+                   {"routeType", "safe"},
+                   {"timeoutMs", 1500},
+                   {"targetLatencyMs", 100},
+                   {"priority", 0},
+                   {"service", "app"},
+                   {"maxAttempts", 2}}}}};
+    }
+
+    static auto withKey(const std::string &key) -> json
+    {
+        return {{"tenants", {{{"name", "county"}, {"apiKeys", {"key1", key}}}}}};
+    }
+};
+
+} // namespace
+
+// Guards against DENIED of issue 22: a gateway that others have told of a newer configuration
+// answered 404 for a route of that configuration.
+TEST_F(Denials, RouteIsNotDeniedWhileOthersKnowANewerConfiguration)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    store->setMode(EmulatedStore::Mode::Silent);
+    tellOfNewerRow(1000000);
+    const auto answer = ask(text("/new/x", "a1"));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->fields.has("Retry-After"));
+    EXPECT_EQ(ask(text("/look/x", "a2"))->status, 200);
+}
+
+// Guards against DENIED of issue 22, whatever keeps the news away: no store that answers, and
+// nobody who tells.
+TEST_F(Denials, NothingIsDeniedByAConfigurationThatTheStoreHasNotConfirmed)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    silenceStore();
+    putConfiguration(2, withKey("key3"));
+    EXPECT_EQ(ask(text("/new/x", "a1"))->status, 503);
+    EXPECT_EQ(ask(text("/look/x", "a2", {}, "key3"))->status, 503);
+    EXPECT_EQ(ask(text("/look/x", "a3"))->status, 200);
+}
+
+// Guards against the refusal of a request that a configuration on its way allows.
+TEST_F(Denials, RequestForANewRouteWaitsForTheConfigurationOnItsWay)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    silenceStore();
+    putConfiguration(2, withRoute("/new/"));
+    CallerAnswer answer;
+    callRaw(answer, address, text("/new/x", "a1"));
+    spin([] { return false; }, 100ms);
+    EXPECT_FALSE(answer.end);
+    store->setMode(EmulatedStore::Mode::Normal);
+    spin([&] { return answer.end.has_value(); });
+    EXPECT_EQ(answer.status, 200);
+}
+
+// A gateway whose store answers denies what no configuration allows, soon.
+TEST_F(Denials, WhatTheStoreConfirmsIsDeniedSoon)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    for (int i = 0; i < 12; ++i) {
+        const auto begun = loop->now();
+        EXPECT_EQ(ask(text("/none/x", "a" + std::to_string(i)))->status, 404);
+        EXPECT_EQ(ask(text("/look/x", "b" + std::to_string(i), {}, "wrong"))->status, 401);
+        EXPECT_LT(loop->now() - begun, 200ms);
+        spin([] { return false; }, 300ms);
+    }
+}
+
+// Pattern: strangers ask for what does not exist, by the hundred. They cost the store few calls,
+// and the callers of routes nothing.
+TEST_F(Denials, StrangersCostTheStoreFewCalls)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    const int before = store->calls();
+    const auto begun = loop->now();
+    for (int i = 0; i < 300; ++i)
+        EXPECT_EQ(ask(text("/none/x", "a" + std::to_string(i)))->status, 404);
+    // One call for each half second at most, beside the gateway's own.
+    const double seconds = Utils::toSeconds(loop->now() - begun);
+    EXPECT_LE(store->calls() - before, 12 + 6 * seconds);
+}
+
+// Pattern: the same while the store is silent. Few are held, the others are told at once.
+TEST_F(Denials, StrangersAreNotHeldWithoutEnd)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    silenceStore();
+    std::vector<std::unique_ptr<CallerAnswer>> answers;
+    for (int i = 0; i < 400; ++i) {
+        answers.push_back(std::make_unique<CallerAnswer>());
+        callRaw(*answers.back(), address, text("/none/x", "a" + std::to_string(i)));
+    }
+    EXPECT_TRUE(spin(
+        [&] {
+            return std::all_of(answers.begin(), answers.end(),
+                               [](const auto &answer) { return answer->end.has_value(); });
+        },
+        2s));
+    for (const auto &answer : answers)
+        EXPECT_EQ(answer->status, 503);
+    EXPECT_EQ(ask(text("/look/x", "b"))->status, 200);
+}
+
+// Guards against 431 and 413 by limits that no configuration has set.
+TEST_F(Denials, SizesAreNotDeniedBeforeTheFirstConfiguration)
+{
+    store->setMode(EmulatedStore::Mode::Busy);
+    startGateway();
+    EXPECT_EQ(ask(text("/look/x", "a1", "X-Long: " + std::string(20 << 10, 'x') + "\r\n"))->status,
+              503);
+    EXPECT_EQ(ask("POST /look/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a2\r\n"
+                  "Content-Length: 5000000\r\n\r\n")
+                  ->status,
+              503);
+}
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -1,214 +1,17 @@
 // A gateway between callers, emulated backend servers and an emulated store, on loopback. Each test
 // brings about one failure and checks what callers and servers see of it.
 
-#include <gateway/gatewayserver.h>
-#include <gateway/gatewaysettings.h>
-#include <gateway/peerlink.h>
-#include <http1/clientconnection.h>
+#include "gatewayfixture.h"
+
 #include <http1/tcplistener.h>
 #include <http1/tcpstream.h>
-#include <net/reactor.h>
-#include <platform/emulator/emulatedengine.h>
-#include <platform/emulator/emulatedstore.h>
-#include <platform/platformwireformat.h>
-#include <platform/rowstoreclient.h>
-
-#include <gtest/gtest.h>
-
-#include <nlohmann/json.hpp>
 
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-using namespace std::chrono_literals;
-using Emulator::EmulatedEngine;
-using Emulator::EmulatedStore;
-using nlohmann::json;
-
 namespace {
 
-struct Answer
-{
-    int status = 0;
-    Http1::Fields fields;
-    std::string body;
-    std::optional<Http1::CallEnd> end;
-    std::unique_ptr<Http1::ClientConnection> connection;
-
-    auto isWhole() const -> bool { return end == Http1::CallEnd::Complete; }
-};
-
-class Gateways : public testing::Test
-{
-protected:
-    auto SetUp() -> void override
-    {
-        loop = std::move(*Net::Reactor::create());
-        store = std::make_unique<EmulatedStore>(*loop);
-        putConfiguration(1);
-    }
-
-    auto putConfiguration(int version, const json &changes = json::object()) -> void
-    {
-        const auto route = [](const std::string &prefix, const std::string &kind,
-                              const std::string &service, bool resumable, int attempts) {
-            return json{{"name", "r" + prefix},   {"host", "h.example"}, {"prefix", prefix},
-                        {"routeType", kind},      {"timeoutMs", 1500},   {"targetLatencyMs", 100},
-                        {"priority", 0},          {"service", service},  {"maxAttempts", attempts},
-                        {"resumable", resumable}, {"gapAimMs", 250}};
-        };
-        json models = json::array();
-        for (const char *name : {"m1", "m2", "m3"})
-            models.push_back({{"name", name},
-                              {"weightsMb", 60000.0},
-                              {"loadS", 0.05},
-                              {"adapters", 3},
-                              {"adapterMb", 10.0},
-                              {"warmS", 0.03},
-                              {"diskS", 0.03}});
-        json configuration = {
-            {"version", version},
-            {"routes",
-             {route("/look/", "safe", "app", false, 2), route("/file/", "unsafe", "app", false, 2),
-              route("/draft/", "streaming", "lm", false, 1),
-              route("/batch/", "streaming", "lm", true, 2)}},
-            {"services",
-             {{{"name", "app"}},
-              {{"name", "lm"},
-               {"engine",
-                {{"slots", 8},
-                 {"weightsMb", 130000.0},
-                 {"adapterSlots", 2},
-                 {"loadsPerS", 10.0},
-                 {"models", models}}}}}},
-            {"limits",
-             {{"maxHeaderBytes", 4096},
-              {"maxBodyBytes", 100000},
-              {"headerTimeoutMs", 1000},
-              {"idleTimeoutMs", 5000}}},
-            {"tenants",
-             {{{"name", "county"},
-               {"apiKeys", {"key1", "key2"}},
-               {"unit", "token_stream"},
-               {"plainTokens", 10},
-               {"ratePerS", 100000},
-               {"burst", 100000}}}}};
-        configuration.update(changes);
-        store->put("op", "config", configuration.dump());
-    }
-
-    auto startGateway() -> void
-    {
-        Gateway::GatewaySettings settings;
-        settings.name = "g1";
-        settings.failureDomain = "a";
-        settings.callerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
-        settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
-        settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
-        settings.storeAddress = store->address();
-        settings.isFirstStart = true;
-        settings.retryRatio = 0.2;
-        settings.retrySlack = 50;
-        address = settings.callerAddress;
-        readiness = settings.readinessAddress;
-        peers = settings.peerAddress;
-        rows = std::make_unique<Platform::RowStoreClient>(*loop, settings.storeAddress);
-        auto created = Gateway::GatewayServer::create(*loop, settings, *rows, wire);
-        ASSERT_TRUE(created) << created.error();
-        gateway = std::move(*created);
-    }
-
-    auto startReadyGateway() -> void
-    {
-        startGateway();
-        ASSERT_TRUE(spin([this] { return readinessStatus() == 200; }));
-    }
-
-    static auto freePort() -> std::string
-    {
-        auto probeLoop = std::move(*Net::Reactor::create());
-        Emulator::Sessions probe(*probeLoop, nullptr, nullptr);
-        probe.open();
-        return std::to_string(probe.address().port());
-    }
-
-    auto readinessStatus() -> int
-    {
-        auto answer = std::make_shared<Answer>();
-        callRaw(*answer, readiness, "GET /-/readiness HTTP/1.1\r\n\r\n");
-        spin([&] { return answer->end.has_value(); });
-        return answer->status;
-    }
-
-    auto callRaw(Answer &answer, const Http1::SocketAddress &to, const std::string &bytes) -> void
-    {
-        answer.connection = std::move(*Http1::ClientConnection::connect(*loop, to));
-        answer.connection->call(bytes,
-                                {[&answer](const Http1::ResponseHead &head, Http1::Framing) {
-                                     answer.status = head.status;
-                                     answer.fields = head.fields;
-                                     return true;
-                                 },
-                                 [&answer](std::string_view data) { answer.body += data; },
-                                 [&answer](Http1::CallEnd how) { answer.end = how; }});
-    }
-
-    auto text(const std::string &target, const std::string &id, const std::string &extra = {},
-              const std::string &key = "key1") -> std::string
-    {
-        return "POST " + target + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
-            + "\r\nAuthorization: Bearer " + key + "\r\nDeadline-Ms: 1400\r\n" + extra
-            + "Content-Length: 4\r\n\r\nbody";
-    }
-
-    auto ask(const std::string &bytes) -> std::shared_ptr<Answer>
-    {
-        auto answer = std::make_shared<Answer>();
-        callRaw(*answer, address, bytes);
-        spin([&] { return answer->end.has_value(); });
-        return answer;
-    }
-
-    auto spin(const std::function<bool()> &until, std::chrono::milliseconds most = 4s) -> bool
-    {
-        const auto limit = loop->now() + most;
-        while (!until() && loop->now() < limit) {
-            loop->restart();
-            loop->callAfter(1ms, [this] { loop->stop(); });
-            loop->run();
-        }
-        return until();
-    }
-
-    auto addEngine(const std::string &id, const std::string &service,
-                   std::set<std::string> models = {}) -> EmulatedEngine &
-    {
-        engines.push_back(
-            std::make_unique<EmulatedEngine>(*loop, *store, id, service, std::move(models)));
-        return *engines.back();
-    }
-
-    static auto events(const std::string &body) -> std::vector<int>
-    {
-        std::vector<int> ids;
-        for (size_t at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1))
-            ids.push_back(std::stoi(body.substr(at + 4)));
-        return ids;
-    }
-
-    const std::vector<int> allEvents = {1, 2, 3, 4, 5};
-    std::unique_ptr<Net::Reactor> loop;
-    std::unique_ptr<EmulatedStore> store;
-    std::vector<std::unique_ptr<EmulatedEngine>> engines;
-    Platform::PlatformWireFormat wire;
-    std::unique_ptr<Platform::RowStoreClient> rows;
-    std::unique_ptr<Gateway::GatewayServer> gateway;
-    Http1::SocketAddress address;
-    Http1::SocketAddress readiness;
-    Http1::SocketAddress peers; ///< Where the gateway takes datagrams.
-};
-
 /// What a server sends when it is asked, and then over and over.
 using Flood = std::pair<std::string, std::string>;
 
@@ -323,7 +126,7 @@
     auto &second = addEngine("i-2", "lm", {"m1"});
     first.behaviour.cutAfterEvents = second.behaviour.cutAfterEvents = 2;
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address, text("/batch/x", "a1", m1));
     ASSERT_TRUE(spin([&] { return first.runs() + second.runs() == 1; }));
     (first.runs() == 1 ? second : first).behaviour.cutAfterEvents = -1;
@@ -340,7 +143,7 @@
     auto &second = addEngine("i-2", "lm", {"m1"});
     first.behaviour.silentAfterEvents = second.behaviour.silentAfterEvents = 0;
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address, text("/batch/x", "a1", m1));
     ASSERT_TRUE(spin([&] { return first.runs() + second.runs() == 1; }));
     auto &silent = first.runs() == 1 ? first : second;
@@ -365,7 +168,7 @@
     auto &engine = addEngine("i-1", "lm", {"m1"});
     engine.behaviour.work = 1s;
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address, text("/draft/x", "a1", m1));
     ASSERT_TRUE(spin([&] { return engine.runs() == 1; }));
     answer->connection->closeNow();
@@ -413,9 +216,9 @@
     auto &engine = addEngine("i-1", "lm", {"m1"});
     engine.behaviour.eventPause = 150ms;
     startReadyGateway();
-    std::vector<std::shared_ptr<Answer>> answers;
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
     const auto start = [&](const char *adapter) {
-        answers.push_back(std::make_shared<Answer>());
+        answers.push_back(std::make_shared<CallerAnswer>());
         callRaw(*answers.back(), address,
                 text("/draft/x", adapter,
                      std::string("Model: m1/") + adapter + "\r\nToken-Count: 10,10\r\n"));
@@ -440,7 +243,7 @@
     auto &engine = addEngine("i-1", "lm", {"m1"});
     engine.behaviour.ignoresOrders = true;
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address, text("/batch/x", "a1", "Model: m2\r\nToken-Count: 10,10\r\n"));
     spin([] { return false; }, 300ms);
     EXPECT_EQ(engine.runs(), 0);
@@ -548,7 +351,7 @@
             + "\r\nAuthorization: Bearer key1\r\nDeadline-Ms: 12000\r\n" + m1
             + "Content-Length: 0\r\n\r\n";
     };
-    auto slow = std::make_shared<Answer>();
+    auto slow = std::make_shared<CallerAnswer>();
     callRaw(*slow, address, request("a1"));
     ASSERT_TRUE(spin([&] { return slow->end.has_value(); }, 8s));
     EXPECT_TRUE(slow->isWhole());
@@ -557,7 +360,7 @@
 
     first.behaviour.eventPause = second.behaviour.eventPause = 5ms;
     first.behaviour.pingsAfterEvents = second.behaviour.pingsAfterEvents = 2;
-    auto stalled = std::make_shared<Answer>();
+    auto stalled = std::make_shared<CallerAnswer>();
     callRaw(*stalled, address, request("a2"));
     ASSERT_TRUE(spin([&] { return first.runs() + second.runs() == 2; }));
     spin([] { return false; }, 100ms);
@@ -710,7 +513,7 @@
         *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(listener->port()));
     flooding.announce();
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address, text("/file/x", "a1"));
     size_t sent = 0;
     const auto begun = loop->now();
@@ -863,7 +666,7 @@
                          {"service", "lm"},
                          {"resumable", true}}}}});
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address,
             "POST /batch/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 20000\r\n"
             "Authorization: Bearer key1\r\nModel: m2\r\nContent-Length: 0\r\n\r\n");
@@ -881,7 +684,7 @@
     auto &engine = addEngine("i-1", "app");
     engine.behaviour.work = 600ms;
     startReadyGateway();
-    auto answer = std::make_shared<Answer>();
+    auto answer = std::make_shared<CallerAnswer>();
     callRaw(*answer, address, text("/file/x", "a1"));
     ASSERT_TRUE(spin([&] { return engine.runs() == 1; }));
     bool done = false;
@@ -945,9 +748,9 @@
     store->setMode(EmulatedStore::Mode::Busy);
     spin([] { return false; }, 1700ms);
     store->setMode(EmulatedStore::Mode::Normal);
-    std::vector<std::shared_ptr<Answer>> answers;
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
     for (int i = 0; i < 8; ++i) {
-        answers.push_back(std::make_shared<Answer>());
+        answers.push_back(std::make_shared<CallerAnswer>());
         callRaw(*answers.back(), address,
                 text("/batch/x", "a" + std::to_string(i), "Model: m2\r\nToken-Count: 10,10\r\n"));
         spin([] { return false; }, 300ms);
--- a/tests/auto/shared/slowrowstore.h
+++ b/tests/auto/shared/slowrowstore.h
@@ -16,6 +16,9 @@
     { }
 
     std::chrono::milliseconds answerTime{4}; ///< Of the answers to questions of now on.
+    /// Time that an answer with rows takes on the link when it has the link to itself; answers that
+    /// are under way together share it.
+    std::chrono::milliseconds transferTime{0};
     bool swallows = false; ///< Questions of now on get no answer; the client gives them up.
     bool historyIsGone = false; ///< Questions for changes are told so.
 
@@ -76,12 +79,20 @@
     { }
 
 private:
+    static constexpr std::chrono::milliseconds linkTick{5};
+
     struct Waiting
     {
         std::uint64_t after = 0;
         RowsCallback done;
     };
 
+    struct Transfer
+    {
+        Utils::Duration left;
+        std::function<void()> deliver;
+    };
+
     auto changesAfter(std::uint64_t after) const -> Gateway::RowSet
     {
         Gateway::RowSet set;
@@ -95,8 +106,35 @@
 
     auto answer(Gateway::RowSet set, RowsCallback done) -> void
     {
+        const auto transfer = set.rows.empty() ? std::chrono::milliseconds(0) : transferTime;
         m_scheduler.callAfter(answerTime,
-                              [set = std::move(set), done = std::move(done)] { done(set); });
+                              [this, transfer, set = std::move(set), done = std::move(done)] {
+                                  if (transfer == std::chrono::milliseconds(0))
+                                      return done(set);
+                                  m_transfers.push_back({transfer, [set, done] { done(set); }});
+                                  if (m_transfers.size() == 1)
+                                      m_scheduler.callAfter(linkTick, [this] { passLinkTick(); });
+                              });
+    }
+
+    /// Gives each answer under way its part of the link.
+    auto passLinkTick() -> void
+    {
+        const auto part = Utils::Duration(linkTick) / m_transfers.size();
+        std::vector<std::function<void()>> arrived;
+        for (auto it = m_transfers.begin(); it != m_transfers.end();) {
+            it->left -= part;
+            if (it->left > Utils::Duration::zero()) {
+                ++it;
+                continue;
+            }
+            arrived.push_back(std::move(it->deliver));
+            it = m_transfers.erase(it);
+        }
+        if (!m_transfers.empty())
+            m_scheduler.callAfter(linkTick, [this] { passLinkTick(); });
+        for (const auto &deliver : arrived)
+            deliver();
     }
 
     /// As the client ends a call that gets no answer.
@@ -126,6 +164,7 @@
     std::map<std::string, Gateway::Row> m_rows;
     std::vector<Gateway::Row> m_history;
     std::map<int, Waiting> m_waiting;
+    std::vector<Transfer> m_transfers; ///< Answers on the link.
     int m_nextWaiting = 1;
     int m_calls = 0;
 };
