A large configuration arrives on a slow link, however often others tell of it

Callers got 404 for routes of a configuration that their gateway never learnt. Cause: a gateway that hears of a newer row asks the store again after 0.3 s. Up to the repeat replaced the question, so the answer on its way was dropped; since then it shares the link with it.

The store's client tells when parts of an answer arrive; silence is counted from the last part, up to 2.4 s, so that an answer that drips in is not waited for without end. Ruled out: more patience alone, which moves the size at which it begins.

--- a/src/libs/gateway/freshnesswatch.cpp
+++ b/src/libs/gateway/freshnesswatch.cpp
@@ -11,7 +11,8 @@
 
 /// Times the usual answer time after which an answer counts as lost.
 constexpr int PatienceInAnswerTimes = 2;
-/// Longest wait before a repeat; the client gives a question up by itself soon after.
+/// Longest wait before a repeat, also while an answer drips in; the client gives a question up by
+/// itself soon after.
 constexpr std::chrono::milliseconds LongestPatience(2400);
 
 } // namespace
@@ -55,7 +56,9 @@
     Duration wait = m_patience;
     for (int i = 0; i < doublings && wait < LongestPatience; ++i)
         wait *= 2;
-    if (now - *m_behindSince < std::min<Duration>(wait, LongestPatience))
+    const TimePoint silentSince = std::max(*m_behindSince, m_progressAt);
+    if (now - silentSince < std::min<Duration>(wait, LongestPatience)
+        && now - *m_behindSince < LongestPatience)
         return false;
     m_behindSince = now;
     ++m_repeats;
--- a/src/libs/gateway/freshnesswatch.h
+++ b/src/libs/gateway/freshnesswatch.h
@@ -8,7 +8,7 @@
 namespace Gateway {
 
 /// Notices that others know a newer row of a table than this process, whose question to the store
-/// may have been swallowed. Needs no network.
+/// may have been swallowed: no part of an answer arrives. Needs no network.
 class FreshnessWatch
 {
 public:
@@ -18,6 +18,9 @@
     /// How long answers take here; one that takes a little longer is not lost yet.
     auto noteAnswerTime(Utils::Duration answerTime) -> void;
 
+    /// Part of an answer arrived then; a repeat would share the link with the rest.
+    auto noteProgress(Utils::TimePoint at) -> void { m_progressAt = at; }
+
     /// Version of the newest row that another gateway told of.
     auto newestAtPeers() const -> std::uint64_t { return m_peerVersion; }
     /// The newest row that another gateway knows.
@@ -33,6 +36,7 @@
     std::uint64_t m_ownVersion = 0;
     int m_repeats = 0; ///< Without anything newer since.
     std::optional<Utils::TimePoint> m_behindSince;
+    Utils::TimePoint m_progressAt;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -268,7 +268,9 @@
         const auto now = reactor.now();
         TableFollower &servers = backendFollower->follower();
         configurationWatch.noteAnswerTime(configurationFollower->answerTime());
+        configurationWatch.noteProgress(configurationFollower->progressAt());
         serverWatch.noteAnswerTime(servers.answerTime());
+        serverWatch.noteProgress(servers.progressAt());
         const char *const reason = "others know more";
         if (configurationWatch.isDue(configurationFollower->newestRow(), now))
             askAnew(reason, "configuration", *configurationFollower, configurationWatch);
--- a/src/libs/gateway/leasekeeper.cpp
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -34,7 +34,7 @@
 
 auto LeaseKeeper::read() -> void
 {
-    m_store.list(m_table, Key, [self = shared_from_this()](const auto &answer) {
+    m_store.list(m_table, Key, nullptr, [self = shared_from_this()](const auto &answer) {
         if (self->m_isStopped)
             return;
         self->noteStore(answer.has_value());
--- a/src/libs/gateway/placementduty.cpp
+++ b/src/libs/gateway/placementduty.cpp
@@ -125,7 +125,7 @@
     /// Reads which gateways there are, and the lease.
     auto readRows() -> void
     {
-        store.list(stateTable, {}, [self = shared_from_this()](const auto &answer) {
+        store.list(stateTable, {}, nullptr, [self = shared_from_this()](const auto &answer) {
             if (self->stopped)
                 return;
             if (!answer) {
--- a/src/libs/gateway/rowstore.h
+++ b/src/libs/gateway/rowstore.h
@@ -40,16 +40,19 @@
 {
 public:
     using RowsCallback = std::function<void(const Utils::Result<RowSet, StoreError> &)>;
+    /// Part of the answer has arrived.
+    using ProgressCallback = std::function<void()>;
     /// Version that the write made.
     using WriteCallback = std::function<void(const Utils::Result<std::uint64_t, StoreError> &)>;
 
     virtual ~RowStore() = default;
     /// Rows of a table from key `from` on.
-    virtual auto list(const std::string &table, const std::string &from, RowsCallback done)
-        -> void = 0;
+    virtual auto list(const std::string &table, const std::string &from, ProgressCallback progress,
+                      RowsCallback done) -> void = 0;
     /// Changes after a version, as soon as there are any or `wait` has passed.
     virtual auto changes(const std::string &table, std::uint64_t after,
-                         std::chrono::milliseconds wait, RowsCallback done) -> void = 0;
+                         std::chrono::milliseconds wait, ProgressCallback progress,
+                         RowsCallback done) -> void = 0;
     /// Writes a row if it still has `expectedVersion`.
     virtual auto write(const std::string &table, const std::string &key,
                        std::uint64_t expectedVersion, const std::string &value, WriteCallback done)
--- a/src/libs/gateway/tablefollower.cpp
+++ b/src/libs/gateway/tablefollower.cpp
@@ -41,6 +41,7 @@
     std::uint64_t version = 0;
     std::uint64_t newestRow = 0;
     std::uint64_t newestQuestion = 0;
+    Utils::TimePoint progressAt; ///< When part of an answer arrived last.
     Utils::Duration answerTime{0};
     bool connected = false;
     bool caughtUp = false;
@@ -67,12 +68,21 @@
         });
     }
 
+    auto progress() -> RowStore::ProgressCallback
+    {
+        return [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->progressAt = self->scheduler->now();
+        };
+    }
+
     auto readPage(const std::shared_ptr<Reading> &reading, const std::string &from) -> void
     {
-        store->list(table, from, [self = shared_from_this(), reading](const auto &answer) {
-            if (!self->stopped)
-                self->takePage(reading, answer);
-        });
+        store->list(table, from, progress(),
+                    [self = shared_from_this(), reading](const auto &answer) {
+                        if (!self->stopped)
+                            self->takePage(reading, answer);
+                    });
     }
 
     auto takePage(const std::shared_ptr<Reading> &reading,
@@ -129,7 +139,7 @@
 
     auto askChanges(const Question &question) -> void
     {
-        store->changes(table, version, Constants::ChangesWait,
+        store->changes(table, version, Constants::ChangesWait, progress(),
                        [self = shared_from_this(), question](const auto &answer) {
                            if (!self->stopped)
                                self->takeChanges(question, answer);
@@ -244,6 +254,11 @@
     return d->answerTime;
 }
 
+auto TableFollower::progressAt() const -> Utils::TimePoint
+{
+    return d->progressAt;
+}
+
 auto TableFollower::hurry() -> void
 {
     d->ask(true);
--- a/src/libs/gateway/tablefollower.h
+++ b/src/libs/gateway/tablefollower.h
@@ -42,6 +42,8 @@
     auto newestRow() const -> std::uint64_t;
     /// How long the store took to answer a question that it could answer at once.
     auto answerTime() const -> Utils::Duration;
+    /// When part of an answer arrived last.
+    auto progressAt() const -> Utils::TimePoint;
     /// Someone knows a newer version: asks beside the open questions, one of which may have been
     /// lost. Their answers still count, however late: a slow link would else never bring one.
     auto hurry() -> void;
--- a/tests/auto/gateway/tst_freshnesswatch.cpp
+++ b/tests/auto/gateway/tst_freshnesswatch.cpp
@@ -55,6 +55,33 @@
     EXPECT_TRUE(watch.isDue(6, start + 6s + 300ms));
 }
 
+// Pattern: a large answer arrives on a slow link, without a pause; a lost connection ends it.
+TEST(FreshnessWatch, RepeatsWaitWhilePartsOfAnAnswerArrive)
+{
+    FreshnessWatch watch(300ms);
+    watch.notePeer(7, start);
+    auto passed = 0ms;
+    for (; passed < 2s; passed += 25ms) {
+        watch.noteProgress(start + passed);
+        EXPECT_FALSE(watch.isDue(5, start + passed)) << passed.count();
+    }
+    EXPECT_FALSE(watch.isDue(5, start + passed + 250ms));
+    EXPECT_TRUE(watch.isDue(5, start + passed + 300ms));
+}
+
+// Pattern: an answer drips in and never ends.
+TEST(FreshnessWatch, AnswerThatDripsIsNotWaitedForWithoutEnd)
+{
+    FreshnessWatch watch(300ms);
+    watch.notePeer(7, start);
+    int repeats = 0;
+    for (auto passed = 0ms; passed <= 5s; passed += 25ms) {
+        watch.noteProgress(start + passed);
+        repeats += watch.isDue(5, start + passed) ? 1 : 0;
+    }
+    EXPECT_EQ(repeats, 2); // After 2.4 and 4.8 s.
+}
+
 TEST(FreshnessWatch, AnswersThatUsuallyTakeLongAreWaitedFor)
 {
     FreshnessWatch watch(300ms);
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -80,6 +80,7 @@
     auto look() -> void
     {
         m_watch.notePeer(store.version(), scheduler.now());
+        m_watch.noteProgress(m_follower.progressAt());
         if (m_watch.isDue(m_follower.newestRow(), scheduler.now())) {
             ++hurries;
             m_follower.hurry();
@@ -260,7 +261,7 @@
         const int steps = *rc::gen::inRange(1, 40);
         for (int i = 0; i < steps; ++i) {
             const std::string key = "k" + std::to_string(*rc::gen::inRange(0, 4));
-            switch (*rc::gen::inRange(0, 7)) {
+            switch (*rc::gen::inRange(0, 8)) {
             case 0:
                 followed.store.swallows = !followed.store.swallows;
                 break;
@@ -276,6 +277,9 @@
             case 4:
                 followed.store.answerTime = std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
                 break;
+            case 5:
+                followed.store.transferTime = std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+                break;
             default:
                 followed.store.put(key, std::to_string(i));
             }
@@ -284,6 +288,7 @@
         followed.store.swallows = false;
         followed.store.historyIsGone = false;
         followed.store.answerTime = 4ms;
+        followed.store.transferTime = 0ms;
         followed.store.put("last", "1");
         followed.pass(5s);
         RC_ASSERT(followed.isCurrent());
--- a/tests/auto/platform/tst_rowstoreclient.cpp
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -48,7 +48,7 @@
     auto list() -> Utils::Duration
     {
         const auto begun = loop->now();
-        client->list("servers", {}, [this](const auto &result) {
+        client->list("servers", {}, nullptr, [this](const auto &result) {
             answer = result;
             loop->stop();
         });
--- a/tests/auto/shared/slowrowstore.h
+++ b/tests/auto/shared/slowrowstore.h
@@ -40,7 +40,8 @@
     auto rows() const -> const std::map<std::string, Gateway::Row> & { return m_rows; }
     auto calls() const -> int { return m_calls; }
 
-    auto list(const std::string &, const std::string &from, RowsCallback done) -> void override
+    auto list(const std::string &, const std::string &from, ProgressCallback progress,
+              RowsCallback done) -> void override
     {
         ++m_calls;
         if (swallows)
@@ -49,11 +50,11 @@
         for (auto it = m_rows.lower_bound(from); it != m_rows.end(); ++it)
             set.rows.push_back(it->second);
         set.version = m_version;
-        answer(std::move(set), std::move(done));
+        answer(std::move(set), std::move(progress), std::move(done));
     }
 
     auto changes(const std::string &, std::uint64_t after, std::chrono::milliseconds wait,
-                 RowsCallback done) -> void override
+                 ProgressCallback progress, RowsCallback done) -> void override
     {
         ++m_calls;
         if (swallows)
@@ -65,9 +66,9 @@
             return;
         }
         if (m_version > after)
-            return answer(changesAfter(after), std::move(done));
+            return answer(changesAfter(after), std::move(progress), std::move(done));
         const int id = m_nextWaiting++;
-        m_waiting[id] = {after, std::move(done)};
+        m_waiting[id] = {after, std::move(progress), std::move(done)};
         m_scheduler.callAfter(wait, [this, id] { endWaiting(id); });
     }
 
@@ -84,12 +85,14 @@
     struct Waiting
     {
         std::uint64_t after = 0;
+        ProgressCallback progress;
         RowsCallback done;
     };
 
     struct Transfer
     {
         Utils::Duration left;
+        ProgressCallback progress;
         std::function<void()> deliver;
     };
 
@@ -104,17 +107,19 @@
         return set;
     }
 
-    auto answer(Gateway::RowSet set, RowsCallback done) -> void
+    auto answer(Gateway::RowSet set, ProgressCallback progress, RowsCallback done) -> void
     {
         const auto transfer = set.rows.empty() ? std::chrono::milliseconds(0) : transferTime;
-        m_scheduler.callAfter(answerTime,
-                              [this, transfer, set = std::move(set), done = std::move(done)] {
-                                  if (transfer == std::chrono::milliseconds(0))
-                                      return done(set);
-                                  m_transfers.push_back({transfer, [set, done] { done(set); }});
-                                  if (m_transfers.size() == 1)
-                                      m_scheduler.callAfter(linkTick, [this] { passLinkTick(); });
-                              });
+        m_scheduler.callAfter(
+            answerTime,
+            [this, transfer, set = std::move(set), progress = std::move(progress),
+             done = std::move(done)] {
+                if (transfer == std::chrono::milliseconds(0))
+                    return done(set);
+                m_transfers.push_back({transfer, progress, [set, done] { done(set); }});
+                if (m_transfers.size() == 1)
+                    m_scheduler.callAfter(linkTick, [this] { passLinkTick(); });
+            });
     }
 
     /// Gives each answer under way its part of the link.
@@ -125,6 +130,8 @@
         for (auto it = m_transfers.begin(); it != m_transfers.end();) {
             it->left -= part;
             if (it->left > Utils::Duration::zero()) {
+                if (it->progress)
+                    it->progress();
                 ++it;
                 continue;
             }
@@ -150,7 +157,8 @@
     {
         auto node = m_waiting.extract(id);
         if (!node.empty())
-            answer(changesAfter(node.mapped().after), std::move(node.mapped().done));
+            answer(changesAfter(node.mapped().after), std::move(node.mapped().progress),
+                   std::move(node.mapped().done));
     }
 
     auto wakeWaiting() -> void
