Sizes are not denied by limits that no configuration has set

A gateway without a configuration, or with one that is not confirmed, answered 431 and 413 by limits of its own or old ones; callers may not ask again after these. It answers 503 now.

--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -1,6 +1,7 @@
 #include "callersession.h"
 
 #include "configuration.h"
+#include "denialcheck.h"
 #include "gatewaycontext.h"
 #include "requestflow.h"
 
@@ -20,6 +21,7 @@
     result.message.bodyBytes = limits.bodyBytes;
     result.headTimeout = limits.headTimeout;
     result.idleTimeout = limits.idleTimeout;
+    result.areFinal = context.configuration && context.denialCheck.mayDeny();
     return result;
 }
 
--- a/src/libs/http1/serverconnection.cpp
+++ b/src/libs/http1/serverconnection.cpp
@@ -13,6 +13,7 @@
 constexpr int StatusRequestTimeout = 408;
 constexpr int StatusContentTooLarge = 413;
 constexpr int StatusFieldsTooLarge = 431;
+constexpr int StatusUnavailable = 503;
 
 auto statusOf(ReadError error) -> int
 {
@@ -29,6 +30,11 @@
     return StatusBadRequest;
 }
 
+auto isOverSize(ReadError error) -> bool
+{
+    return error == ReadError::HeadTooLarge || error == ReadError::BodyTooLarge;
+}
+
 } // namespace
 
 struct ServerConnection::Private : std::enable_shared_from_this<ServerConnection::Private>
@@ -95,7 +101,9 @@
                 setTimer(events.limits().headTimeout, [this] { refuse(StatusRequestTimeout); });
             pending.erase(0, reader->feed(pending));
             if (reader->error() != ReadError::None) {
-                refuse(statusOf(reader->error()));
+                refuse(isOverSize(reader->error()) && !events.limits().areFinal
+                           ? StatusUnavailable
+                           : statusOf(reader->error()));
                 break;
             }
             if (!reader->isComplete())
