--- a/tests/auto/platform/tst_rowstoreclient.cpp
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -92,6 +92,24 @@
     EXPECT_GT(took, 1900ms);
 }
 
+// Guards against a large configuration that is never learnt: its answer was cut after six seconds
+// on a slow link, and asked for again from the start.
+TEST_F(RowStoreCalls, LargeAnswerOnASlowLinkIsTakenWhole)
+{
+    const std::string body = "{\"rows\":[],\"ver\":7}";
+    constexpr size_t pieceBytes = 20 << 10;
+    constexpr int pieceCount = 80;
+    opening = "HTTP/1.1 200 OK\r\nContent-Length: "
+        + std::to_string(body.size() + pieceCount * pieceBytes) + "\r\n\r\n" + body;
+    piece = std::string(pieceBytes, ' ');
+    pieces = pieceCount;
+    pause = 100ms;
+    const auto took = list();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->version, 7U);
+    EXPECT_GT(took, 7s);
+}
+
 TEST_F(RowStoreCalls, SilentStoreIsGivenUp)
 {
     opening = chunkedHead;
