--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -41,6 +41,8 @@
 
 /// Pause between looks at what waits, for servers whose pauses end.
 constexpr milliseconds WaitingTick(25);
+/// A delay of the event loop that is logged.
+constexpr milliseconds LoggedDelay(300);
 /// After a request to stop, new connections still come until the balancer has asked twice.
 constexpr milliseconds LeastStopTime(3200);
 /// Requests that come later than this are refused: the platform lets a stopping process cut off
@@ -108,6 +110,8 @@
     FreshnessWatch configurationWatch{Constants::ConfigurationPatience};
     FreshnessWatch serverWatch{serverListPause() + Constants::ServerListPatienceBeyondPause};
     bool draining = false;
+    std::optional<Utils::TimePoint> tickedAt;
+    Utils::Duration longestDelay{0}; ///< Of the event loop, since the metrics were read.
 
     auto serverListPause() const -> milliseconds
     {
@@ -161,6 +165,7 @@
         auto server = QuestionServer::listen(reactor, *settings.metricsAddress,
                                              [this](const Http1::RequestHead &) {
                                                  constexpr int ok = 200;
+                                                 setGauges();
                                                  return QuestionServer::Answer{ok, metrics.text()};
                                              });
         if (!server)
@@ -169,6 +174,29 @@
         return {};
     }
 
+    auto setGauges() -> void
+    {
+        const auto age = denialCheck.age();
+        metrics.set("acacia_configuration_version",
+                    context.configuration ? double(context.configuration->version) : 0);
+        metrics.set("acacia_configuration_age_seconds", age ? Utils::toSeconds(*age) : -1);
+        metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
+        longestDelay = {};
+    }
+
+    /// To be called each `WaitingTick`.
+    auto noteTick() -> void
+    {
+        const auto now = reactor.now();
+        const auto delay = tickedAt ? now - *tickedAt - WaitingTick : Utils::Duration::zero();
+        tickedAt = now;
+        longestDelay = std::max(longestDelay, delay);
+        if (delay < LoggedDelay)
+            return;
+        Utils::logEvent(Utils::Event::LoopDelayed,
+                        {{"delayMs", std::chrono::duration_cast<milliseconds>(delay).count()}});
+    }
+
     auto follow(RowStore &store) -> void
     {
         TableFollower::Events events;
@@ -407,6 +435,7 @@
         return tl::unexpected(*fault);
     d->follow(store);
     d->waitingTimer = std::make_unique<Net::PeriodicTimer>(reactor, WaitingTick, [d] {
+        d->noteTick();
         d->waiting.wake();
         d->checkFreshness();
     });
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -101,6 +101,8 @@
          "Changed settings were checked and are in force."},
         {Event::SettingsRejected, "settings-rejected",
          "Changed settings are faulty; those before stay in force."},
+        {Event::LoopDelayed, "loop-delayed",
+         "The event loop stood still; what came meanwhile was dealt with late."},
         {Event::RevisionApplied, "revision-applied",
          "A newer revision of the control state is in force here."},
         {Event::FreshnessLost, "freshness-lost",
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -16,6 +16,7 @@
     DrainStarted = 102,
     SettingsReloaded = 103,
     SettingsRejected = 104,
+    LoopDelayed = 105,
     RevisionApplied = 200,
     FreshnessLost = 201,
     FreshnessRegained = 202,
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -13,6 +13,7 @@
 #include <platform/platformwireformat.h>
 #include <platform/rowstoreclient.h>
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <nlohmann/json.hpp>
@@ -90,6 +91,7 @@
         settings.callerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        settings.metricsAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.storeAddress = store->address();
         settings.isFirstStart = true;
         settings.retryRatio = 0.2;
@@ -97,6 +99,7 @@
         address = settings.callerAddress;
         readiness = settings.readinessAddress;
         peers = settings.peerAddress;
+        metrics = *settings.metricsAddress;
         rows = std::make_unique<Platform::RowStoreClient>(*loop, settings.storeAddress);
         auto created = Gateway::GatewayServer::create(*loop, settings, *rows, wire);
         ASSERT_TRUE(created) << created.error();
@@ -192,4 +195,5 @@
     Http1::SocketAddress address;
     Http1::SocketAddress readiness;
     Http1::SocketAddress peers; ///< Where the gateway takes datagrams.
+    Http1::SocketAddress metrics;
 };
--- a/tests/auto/platform/tst_denials.cpp
+++ b/tests/auto/platform/tst_denials.cpp
@@ -104,6 +104,24 @@
     EXPECT_EQ(answer.status, 200);
 }
 
+// What an operator sees of a gateway that goes by an old configuration.
+TEST_F(Denials, MetricsTellTheConfigurationsVersionAndAge)
+{
+    startReadyGateway();
+    silenceStore();
+    putConfiguration(2);
+    passApplyTime();
+    CallerAnswer answer;
+    callRaw(answer, metrics, "GET /metrics HTTP/1.1\r\n\r\n");
+    spin([&] { return answer.end.has_value(); });
+    EXPECT_THAT(answer.body, testing::HasSubstr("acacia_configuration_version 1\n"));
+    EXPECT_THAT(answer.body, testing::HasSubstr("acacia_loop_delay_seconds "));
+    const std::string age = "\nacacia_configuration_age_seconds ";
+    const auto at = answer.body.find(age);
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_GE(std::stod(answer.body.substr(at + age.size())), 2);
+}
+
 // A gateway whose store answers denies what no configuration allows, soon.
 TEST_F(Denials, WhatTheStoreConfirmsIsDeniedSoon)
 {
