--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -146,6 +146,8 @@
 /// The store has answered: goes by the configuration of now.
 auto RequestFlow::screenAgain() -> void
 {
+    m_route = nullptr;
+    m_customer = nullptr;
     m_configuration = m_context.configuration;
     if (!screen())
         return;
