Waiting for the configuration takes from a request's time

Found by the review: the timers of a request began when it was admitted, up to a second after it came, so a route's time could be exceeded by that second (504 after 2.4 s at a route of 1.5 s). They go by the arrival; the wait is also bounded by the route's time where the route is known. WaitingForTheConfigurationTakesFromTheRoutesTime failed before.

--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -137,6 +137,9 @@
     if (m_request.patience)
         mostWait = std::min(mostWait,
                             duration_cast<Duration>(*m_request.patience * Constants::WaitingShare));
+    if (m_route)
+        mostWait =
+            std::min(mostWait, duration_cast<Duration>(m_route->timeout * Constants::WaitingShare));
     m_confirmationTimer = m_context.reactor.callAfter(mostWait, [weak] {
         if (const auto flow = weak.lock())
             flow->refuse(RefusalReason::NotFresh);
@@ -231,18 +234,20 @@
     if (m_request.patience)
         total = std::min(total, *m_request.patience);
     m_deadline = m_arrivedAt + total;
+    m_waitEnd = m_arrivedAt + duration_cast<Duration>(total * Constants::WaitingShare);
+    // Part of the time may have passed in waiting for quota or for the configuration.
+    const auto now = m_context.reactor.now();
     const auto weak = weak_from_this();
     m_deadlineTimer = m_context.reactor.callAfter(
-        std::max<Duration>(total - Constants::AnswerMargin, Duration::zero()), [weak] {
+        std::max<Duration>(m_deadline - Constants::AnswerMargin - now, Duration::zero()), [weak] {
             if (const auto flow = weak.lock())
                 flow->handleTimeUp();
         });
-    const auto mostWait = duration_cast<Duration>(total * Constants::WaitingShare);
-    m_waitEnd = m_arrivedAt + mostWait;
-    m_waitTimer = m_context.reactor.callAfter(mostWait, [weak] {
-        if (const auto flow = weak.lock())
-            flow->handleWaitOver();
-    });
+    m_waitTimer =
+        m_context.reactor.callAfter(std::max<Duration>(m_waitEnd - now, Duration::zero()), [weak] {
+            if (const auto flow = weak.lock())
+                flow->handleWaitOver();
+        });
 }
 
 auto RequestFlow::waitForServer() -> void
