--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -207,7 +207,7 @@
         };
         events.onCaughtUp = [] {};
         events.onConfirmed = [this](Utils::TimePoint at) {
-            denialCheck.noteAnswer(at, configurationFollower->newestRow());
+            denialCheck.noteAnswer(at, configurationFollower->completeTo());
         };
         events.onLost = [](StoreError error) {
             Utils::logEvent(Utils::Event::StoreUnavailable,
@@ -245,7 +245,7 @@
         };
         knowledge.onPeer = [this](const StoreKnowledge &peer) {
             configurationWatch.notePeer(peer.configurationRow, reactor.now());
-            denialCheck.noteElsewhere(peer.configurationRow, configurationFollower->newestRow());
+            denialCheck.noteElsewhere(peer.configurationRow, configurationFollower->completeTo());
             serverWatch.notePeer(peer.serverRow, reactor.now());
         };
         knowledge.onStoreBack = [this] { askAllAnew("store back"); };
@@ -312,9 +312,9 @@
         serverWatch.noteAnswerTime(servers.answerTime());
         serverWatch.noteProgress(servers.progressAt());
         const char *const reason = "others know more";
-        if (configurationWatch.isDue(configurationFollower->newestRow(), now))
+        if (configurationWatch.isDue(configurationFollower->completeTo(), now))
             askAnew(reason, "configuration", *configurationFollower, configurationWatch);
-        if (serverWatch.isDue(servers.newestRow(), now))
+        if (serverWatch.isDue(servers.completeTo(), now))
             askAnew(reason, "servers", servers, serverWatch);
     }
 
--- a/src/libs/gateway/tablefollower.cpp
+++ b/src/libs/gateway/tablefollower.cpp
@@ -280,6 +280,11 @@
 
 auto TableFollower::answerTime() const -> Utils::Duration
 {
+auto TableFollower::completeTo() const -> std::uint64_t
+{
+    return d->version;
+}
+
     return d->answerTime;
 }
 
--- a/src/libs/gateway/tablefollower.h
+++ b/src/libs/gateway/tablefollower.h
@@ -42,6 +42,8 @@
     auto isCaughtUp() const -> bool;
     /// Version of the newest row, or removal of one, that is known here.
     auto newestRow() const -> std::uint64_t;
+    /// Version of the store up to which the copy is complete; not less than that of the newest row.
+    auto completeTo() const -> std::uint64_t;
     /// How long the store took to answer a question that it could answer at once.
     auto answerTime() const -> Utils::Duration;
     /// When part of an answer arrived last.
