Confirmations of the configuration from before a suspension don't count

Found by the review: the clock of the process leaves out the time for which its machine is suspended, so a confirmation from before looked young after it, and so did an answer that lay in the socket. DenialCheck compares with the boot-time clock, as the lease does. ConfirmationsFromBeforeASuspensionDoNotCount is new; the interface before could not express it.

--- a/src/libs/gateway/denialcheck.cpp
+++ b/src/libs/gateway/denialcheck.cpp
@@ -14,6 +14,8 @@
     : m_scheduler(scheduler)
     , m_lifetime(lifetime)
     , m_events(std::move(events))
+    , m_pause(Constants::FirstConfirmationPause)
+    , m_suspended(m_events.suspendedTime())
 { }
 
 DenialCheck::~DenialCheck()
@@ -24,6 +26,9 @@
 
 auto DenialCheck::noteAnswer(TimePoint provedAt, std::uint64_t ownRow) -> void
 {
+    noticeSuspension();
+    if (provedAt < m_resumedAt)
+        return;
     m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
     // The store's word counts more than another gateway's.
     if (ownRow >= m_rowElsewhere || (m_doubtedAt && provedAt >= *m_doubtedAt))
@@ -45,15 +50,26 @@
     m_isUnreadable = isUnreadable;
 }
 
-auto DenialCheck::mayDeny() const -> bool
+auto DenialCheck::noticeSuspension() -> void
+{
+    const Duration suspended = m_events.suspendedTime();
+    if (suspended - m_suspended < Constants::LeastSuspension)
+        return;
+    m_suspended = suspended;
+    m_resumedAt = m_scheduler.now();
+    m_provedAt.reset();
+}
+
+auto DenialCheck::mayDeny() -> bool
 {
     const auto confirmedFor = age();
     return confirmedFor && *confirmedFor <= m_lifetime && !m_doubtedAt && !m_isUnreadable;
 }
 
-auto DenialCheck::age() const -> std::optional<Duration>
+auto DenialCheck::age() -> std::optional<Duration>
 {
     if (!m_provedAt)
+    noticeSuspension();
         return {};
     return m_scheduler.now() - *m_provedAt;
 }
--- a/src/libs/gateway/denialcheck.h
+++ b/src/libs/gateway/denialcheck.h
@@ -19,6 +19,8 @@
     struct Events
     {
         std::function<void()> askStore; ///< For the newest row, to be answered at once.
+        /// Time for which the machine was suspended, which the scheduler's clock leaves out.
+        std::function<Utils::Duration()> suspendedTime;
     };
 
     /// A confirmation counts for `lifetime`.
@@ -33,9 +35,9 @@
     /// The newest row could not be read; until the next one nothing may be denied.
     auto setUnreadable(bool isUnreadable) -> void;
 
-    auto mayDeny() const -> bool;
+    auto mayDeny() -> bool;
     /// Age of the confirmation; empty before the first one.
-    auto age() const -> std::optional<Utils::Duration>;
+    auto age() -> std::optional<Utils::Duration>;
 
     /// Has the store asked, and calls `onNews` each time that it has answered, until `cancel`.
     /// Empty if too many wait already.
@@ -43,6 +45,7 @@
     auto cancel(Ticket ticket) -> void;
 
 private:
+    auto noticeSuspension() -> void;
     auto ask() -> void;
     auto wakeAll() -> void;
 
@@ -51,6 +54,8 @@
     Events m_events;
     std::optional<Utils::TimePoint> m_provedAt;
     std::uint64_t m_rowElsewhere = 0;
+    Utils::Duration m_suspended;
+    Utils::TimePoint m_resumedAt; ///< What was asked before proves nothing.
     std::optional<Utils::TimePoint> m_doubtedAt; ///< A newer row than the own one was told of.
     bool m_isUnreadable = false;
     std::optional<Net::Scheduler::TimerId> m_askTimer; ///< Set during the pause after a question.
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds LongestConfirmationWait(1000);
 /// Requests that wait for one at a time; anybody can send requests that nothing allows.
 constexpr size_t MostUnconfirmedDenials = 128;
+/// A suspension of the machine that is noticed; the two clocks are not read at the same moment.
+constexpr std::chrono::milliseconds LeastSuspension(50);
 
 /// A backend server that does not take a connection for this long is passed over; the farthest is
 /// a few milliseconds away.
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -29,6 +29,7 @@
 #include <monitoring/metrics.h>
 #include <net/periodictimer.h>
 #include <net/reactor.h>
+#include <utils/boottime.h>
 #include <utils/eventlog.h>
 
 #include <algorithm>
@@ -69,7 +70,8 @@
         , denialCheck(r,
                       std::chrono::duration_cast<milliseconds>(s.configurationApplyTime
                                                                * Constants::DenialProofShare),
-                      {[this] { configurationFollower->confirm(); }})
+                      {[this] { configurationFollower->confirm(); },
+                       [this] { return Utils::bootTime() - reactor.now(); }})
         , context{r,           w,       board,   pool, quota,   waiting, demand,
                   denialCheck, metrics, nullptr, {},   nullptr, {},      nullptr}
     { }
--- a/tests/auto/gateway/tst_denialcheck.cpp
+++ b/tests/auto/gateway/tst_denialcheck.cpp
@@ -21,7 +21,8 @@
     VirtualScheduler scheduler;
     Utils::TimePoint begun = scheduler.now();
     int questions = 0;
-    DenialCheck check{scheduler, lifetime, {[this] { ++questions; }}};
+    Utils::Duration suspended{0};
+    DenialCheck check{scheduler, lifetime, {[this] { ++questions; }, [this] { return suspended; }}};
 };
 
 } // namespace
@@ -95,6 +96,33 @@
     EXPECT_EQ(checked.questions, before) << "nobody waits";
 }
 
+// Pattern: others told of a newer row, which is being asked for; one more question would share the
+// link with its answer.
+TEST(DenialCheck, NothingIsAskedForWhatIsKnownToBeMissing)
+{
+    Checked checked;
+    checked.check.noteAnswer(checked.scheduler.now(), 5);
+    checked.check.noteElsewhere(7, 5);
+    checked.check.wait([] {});
+    checked.scheduler.pass(1s);
+    EXPECT_EQ(checked.questions, 0);
+}
+
+// Pattern: the machine was suspended, which the clock of the process does not count.
+TEST(DenialCheck, ConfirmationsFromBeforeASuspensionDoNotCount)
+{
+    Checked checked;
+    checked.check.noteAnswer(checked.scheduler.now(), 5);
+    checked.scheduler.pass(1ms);
+    checked.suspended = 10s;
+    EXPECT_FALSE(checked.check.mayDeny());
+    // The answer to a question from before the suspension, which lay in the socket.
+    checked.check.noteAnswer(checked.begun, 5);
+    EXPECT_FALSE(checked.check.mayDeny());
+    checked.check.noteAnswer(checked.scheduler.now(), 5);
+    EXPECT_TRUE(checked.check.mayDeny());
+}
+
 TEST(DenialCheck, WaitingRequestsHearOfEachAnswerUntilTheyLeave)
 {
     Checked checked;
