Questions for a confirmation become rarer and leave what is asked for already

The pauses are 0.6 to 2.4 s now, doubling until an answer comes, and nothing is asked while a newer row is known to exist, which the follower asks for. The end of an answer ends its progress.

--- a/src/libs/gateway/denialcheck.cpp
+++ b/src/libs/gateway/denialcheck.cpp
@@ -33,6 +33,7 @@
     // The store's word counts more than another gateway's.
     if (ownRow >= m_rowElsewhere || (m_doubtedAt && provedAt >= *m_doubtedAt))
         m_doubtedAt.reset();
+    m_pause = Constants::FirstConfirmationPause;
     wakeAll();
 }
 
@@ -68,8 +69,8 @@
 
 auto DenialCheck::age() -> std::optional<Duration>
 {
-    if (!m_provedAt)
     noticeSuspension();
+    if (!m_provedAt)
         return {};
     return m_scheduler.now() - *m_provedAt;
 }
@@ -90,14 +91,18 @@
     m_waiting.erase(ticket);
 }
 
-/// Asks, and again after each pause as long as a request waits: a question may be swallowed.
+/// Asks, and again after longer and longer pauses as long as a request waits: the question may have
+/// been swallowed, or its answer may be slow.
 auto DenialCheck::ask() -> void
 {
     m_askTimer.reset();
     if (m_waiting.empty())
         return;
-    m_askTimer = m_scheduler.callAfter(Constants::ConfirmationPause, [this] { ask(); });
-    m_events.askStore();
+    m_askTimer = m_scheduler.callAfter(m_pause, [this] { ask(); });
+    m_pause = std::min<Duration>(m_pause * 2, Constants::LongestConfirmationPause);
+    // What is known to be missing is asked for already, and its answer confirms as well.
+    if (!m_doubtedAt)
+        m_events.askStore();
 }
 
 auto DenialCheck::wakeAll() -> void
--- a/src/libs/gateway/denialcheck.h
+++ b/src/libs/gateway/denialcheck.h
@@ -52,10 +52,11 @@
     Net::Scheduler &m_scheduler;
     Utils::Duration m_lifetime;
     Events m_events;
+    Utils::Duration m_pause; ///< After the next question.
     std::optional<Utils::TimePoint> m_provedAt;
-    std::uint64_t m_rowElsewhere = 0;
     Utils::Duration m_suspended;
     Utils::TimePoint m_resumedAt; ///< What was asked before proves nothing.
+    std::uint64_t m_rowElsewhere = 0;
     std::optional<Utils::TimePoint> m_doubtedAt; ///< A newer row than the own one was told of.
     bool m_isUnreadable = false;
     std::optional<Net::Scheduler::TimerId> m_askTimer; ///< Set during the pause after a question.
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -27,14 +27,16 @@
 /// Part of the time in which a configuration must be in force everywhere for which a confirmation
 /// by the store lets requests be denied for good; the rest is left for the request's way here.
 constexpr double DenialProofShare = 0.5;
-/// Pause between two questions to the store for such a confirmation; each is paid for.
-constexpr std::chrono::milliseconds ConfirmationPause(300);
+/// First and longest pause between two questions to the store for such a confirmation. Each is paid
+/// for, and shares the link with the answers to those before.
+constexpr std::chrono::milliseconds FirstConfirmationPause(600);
+constexpr std::chrono::milliseconds LongestConfirmationPause(2400);
 /// Longest wait of a request for one; callers do better elsewhere after it.
 constexpr std::chrono::milliseconds LongestConfirmationWait(1000);
-/// Requests that wait for one at a time; anybody can send requests that nothing allows.
-constexpr size_t MostUnconfirmedDenials = 128;
 /// A suspension of the machine that is noticed; the two clocks are not read at the same moment.
 constexpr std::chrono::milliseconds LeastSuspension(50);
+/// Requests that wait for one at a time; anybody can send requests that nothing allows.
+constexpr size_t MostUnconfirmedDenials = 128;
 
 /// A backend server that does not take a connection for this long is passed over; the farthest is
 /// a few milliseconds away.
--- a/src/libs/gateway/tablefollower.cpp
+++ b/src/libs/gateway/tablefollower.cpp
@@ -43,7 +43,7 @@
     std::uint64_t version = 0;
     std::uint64_t newestRow = 0;
     std::uint64_t newestQuestion = 0;
-    Utils::TimePoint progressAt; ///< When part of an answer arrived last.
+    Utils::TimePoint progressAt; ///< When part of an answer that is under way arrived last.
     Utils::Duration answerTime{0};
     bool connected = false;
     bool caughtUp = false;
@@ -105,6 +105,7 @@
     auto takePage(const std::shared_ptr<Reading> &reading,
                   const Utils::Result<RowSet, StoreError> &answer) -> void
     {
+        progressAt = {};
         if (!answer)
             return fail(reading->question, answer.error());
         succeed();
@@ -167,6 +168,7 @@
     auto takeChanges(const Question &question, const Utils::Result<RowSet, StoreError> &answer)
         -> void
     {
+        progressAt = {};
         const bool isNewest = question.number == newestQuestion;
         if (!answer && answer.error() == StoreError::HistoryGone) {
             if (isNewest || (question.isConfirming && !mustReadAll)) {
@@ -278,13 +280,13 @@
     return d->newestRow;
 }
 
-auto TableFollower::answerTime() const -> Utils::Duration
-{
 auto TableFollower::completeTo() const -> std::uint64_t
 {
     return d->version;
 }
 
+auto TableFollower::answerTime() const -> Utils::Duration
+{
     return d->answerTime;
 }
 
--- a/src/libs/gateway/tablefollower.h
+++ b/src/libs/gateway/tablefollower.h
@@ -46,7 +46,7 @@
     auto completeTo() const -> std::uint64_t;
     /// How long the store took to answer a question that it could answer at once.
     auto answerTime() const -> Utils::Duration;
-    /// When part of an answer arrived last.
+    /// When part of an answer that is under way arrived last.
     auto progressAt() const -> Utils::TimePoint;
     /// Someone knows a newer version: asks beside the open questions, one of which may have been
     /// lost. Their answers still count, however late: a slow link would else never bring one.
--- a/tests/auto/gateway/tst_denialcheck.cpp
+++ b/tests/auto/gateway/tst_denialcheck.cpp
@@ -88,7 +88,7 @@
         checked.scheduler.pass(10ms);
     }
     EXPECT_EQ(tickets.size(), Gateway::Constants::MostUnconfirmedDenials);
-    EXPECT_LE(checked.questions, 10s / Gateway::Constants::ConfirmationPause + 1);
+    EXPECT_LE(checked.questions, 10s / Gateway::Constants::LongestConfirmationPause + 3);
     for (const auto ticket : tickets)
         checked.check.cancel(ticket);
     const int before = checked.questions;
--- a/tests/auto/platform/tst_enginedesk.cpp
+++ b/tests/auto/platform/tst_enginedesk.cpp
@@ -71,7 +71,8 @@
     Gateway::QuotaLedger quota{true, {}};
     Gateway::WaitingRoom waiting{*loop};
     Gateway::DemandTracker demand;
-    Gateway::DenialCheck denialCheck{*loop, std::chrono::seconds(1), {}};
+    Gateway::DenialCheck denialCheck{
+        *loop, std::chrono::seconds(1), {nullptr, [] { return Utils::Duration(0); }}};
     Monitoring::Metrics metrics;
     Gateway::GatewayContext context{*loop,       wire,    board,   pool, quota,   waiting, demand,
                                     denialCheck, metrics, nullptr, {},   nullptr, {},      nullptr};
--- a/tests/auto/platform/tst_rowstoreclient.cpp
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -48,10 +48,12 @@
     auto list() -> Utils::Duration
     {
         const auto begun = loop->now();
-        client->list("servers", {}, nullptr, [this](const auto &result) {
-            answer = result;
-            loop->stop();
-        });
+        client->list(
+            "servers", {}, [this] { ++progress; },
+            [this](const auto &result) {
+                answer = result;
+                loop->stop();
+            });
         loop->run();
         loop->restart();
         const auto took = loop->now() - begun;
@@ -70,6 +72,7 @@
     int pieces = 1 << 20;
     std::chrono::milliseconds pause{1};
     bool closed = false;
+    int progress = 0; ///< Times that part of an answer was told of.
     Utils::Result<RowSet, StoreError> answer = tl::unexpected(StoreError::Conflict);
 };
 
@@ -90,6 +93,7 @@
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->version, 7U);
     EXPECT_GT(took, 1900ms);
+    EXPECT_GE(progress, 20);
 }
 
 // Guards against a large configuration that is never learnt: its answer was cut after six seconds
