Soak: configurations that grow by many routes, on weak gateways

Gateways are weak by nature: 4 to 10 Mbit/s from the store, 9 or 20 ms of each 100 ms of a processor. Callers ask for what was just added, dropped or never there. A fault no longer ends another one that began in the same millisecond.

Checks: 401 and 404 are judged by the key or the route they concern, at gateways that are in touch when the request is sent; before, the calm had to reach back to the change. 400, 403, a 401 for a permanent key and a 404 for a permanent route are never excused; before, they were on the route that comes and goes and with the withdrawn key. New: a gateway that refuses what was in force before its process started, and a run of what no configuration allows.

--- a/tests/auto/platform/soak/attempt.h
+++ b/tests/auto/platform/soak/attempt.h
@@ -21,7 +21,8 @@
     size_t gateway = 0; ///< That it was sent to.
     std::chrono::milliseconds patience{0};
     int tokens = 0;
-    bool isOnNewRoute = false; ///< That versions of the configuration add and drop.
+    std::string route; ///< Prefix that it is for.
+    bool isForbidden = false; ///< No configuration ever allows it.
     Utils::TimePoint sentAt;
 };
 
--- a/tests/auto/platform/soak/faultscript.cpp
+++ b/tests/auto/platform/soak/faultscript.cpp
@@ -20,20 +20,53 @@
 
 using Kind = FaultScript::Kind;
 
-constexpr std::array<const char *, 30> kindNames = {
-    "gateway freeze",        "gateway kill",          "gateway stop",
-    "gateway hangup",        "gateway store silence", "gateway store one way",
-    "gateway store reset",   "gateway store delay",   "store busy",
-    "store reset",           "store silent",          "store loses answers",
-    "store forgets history", "engine crash",          "engine crash same name",
-    "engine leaves",         "engine sheds",          "engine loses answers",
-    "engine cuts streams",   "engine falls silent",   "engine slow",
-    "engine ignores orders", "engine link delay",     "engine link reset",
-    "engine link silence",   "new configuration",     "route change",
-    "key withdrawn",         "gateway slow",          "gateway store slow"};
+constexpr std::array<const char *, 39> kindNames = {"gateway freeze",
+                                                    "gateway kill",
+                                                    "gateway stop",
+                                                    "gateway hangup",
+                                                    "gateway store silence",
+                                                    "gateway store one way",
+                                                    "gateway store reset",
+                                                    "gateway store delay",
+                                                    "store busy",
+                                                    "store reset",
+                                                    "store silent",
+                                                    "store loses answers",
+                                                    "store forgets history",
+                                                    "engine crash",
+                                                    "engine crash same name",
+                                                    "engine leaves",
+                                                    "engine sheds",
+                                                    "engine loses answers",
+                                                    "engine cuts streams",
+                                                    "engine falls silent",
+                                                    "engine slow",
+                                                    "engine ignores orders",
+                                                    "engine link delay",
+                                                    "engine link reset",
+                                                    "engine link silence",
+                                                    "new configuration",
+                                                    "route change",
+                                                    "key withdrawn",
+                                                    "gateway slow",
+                                                    "gateway store slow",
+                                                    "gateway store narrow",
+                                                    "store slow",
+                                                    "store lossy",
+                                                    "caller burst",
+                                                    "routes added",
+                                                    "routes dropped",
+                                                    "route added and used",
+                                                    "key added",
+                                                    "key dropped"};
 /// Kinds that `draw` picks from.
 constexpr size_t commonKinds = 28;
 
+/// By seed.
+constexpr std::uint64_t GrowthMixes = 3;
+constexpr std::uint64_t GrowthAlone = 0;
+constexpr std::uint64_t GrowthBesideOneGateway = 1;
+
 constexpr milliseconds TickPause(50);
 /// A gateway that was asked to stop has so long; the emulated platform kills it then.
 constexpr milliseconds StopLimit(4200);
@@ -44,6 +77,8 @@
 constexpr milliseconds StandingTime(90);
 constexpr milliseconds RunningTime(10);
 constexpr milliseconds SlowWork(400);
+/// A narrow link takes seconds for a configuration of hundreds of KB.
+constexpr double NarrowMbitPerSecond = 2;
 /// Until the list of servers drops one that ended without a word.
 constexpr milliseconds LapseTime(3600);
 /// An engine that leaves goes on serving for this long.
@@ -52,12 +87,13 @@
 auto isGatewayFault(Kind kind) -> bool
 {
     return kind <= Kind::GatewayStoreDelay || kind == Kind::GatewaySlow
-        || kind == Kind::GatewayStoreSlow;
+        || kind == Kind::GatewayStoreSlow || kind == Kind::GatewayStoreNarrow;
 }
 
 auto isStoreFault(Kind kind) -> bool
 {
-    return kind >= Kind::StoreBusy && kind <= Kind::StoreForgetsHistory;
+    return (kind >= Kind::StoreBusy && kind <= Kind::StoreForgetsHistory) || kind == Kind::StoreSlow
+        || kind == Kind::StoreLossy;
 }
 
 auto isEngineFault(Kind kind) -> bool
@@ -65,6 +101,11 @@
     return kind >= Kind::EngineCrash && kind <= Kind::EngineLinkSilence;
 }
 
+auto isOperatorAction(Kind kind) -> bool
+{
+    return kind >= Kind::NewConfiguration && kind <= Kind::KeyWithdrawn;
+}
+
 auto isLinkFault(Kind kind) -> bool
 {
     return kind >= Kind::EngineLinkDelay && kind <= Kind::EngineLinkSilence;
@@ -115,6 +156,60 @@
     return steps;
 }
 
+auto FaultScript::drawGrowth(std::uint64_t seed, milliseconds length, milliseconds faults,
+                             size_t gateways) -> std::vector<Step>
+{
+    constexpr std::uint64_t apart = 0x960000;
+    std::mt19937_64 random(seed + apart);
+    constexpr int longestGapMs = 7000;
+    constexpr int mostVersions = 4;
+    constexpr int quickGapMs = 400;
+    constexpr int leastRoutes = 1000;
+    constexpr int routesSpread = 1001;
+    constexpr milliseconds moment(1);
+    constexpr std::array small = {Kind::RouteAddedAndUsed, Kind::KeyAdded,      Kind::KeyDropped,
+                                  Kind::RouteAddedAndUsed, Kind::RoutesDropped, Kind::KeyAdded,
+                                  Kind::KeyDropped,        Kind::RoutesAdded};
+    std::vector<Step> steps;
+    milliseconds at(random() % longestGapMs);
+    while (at < length) {
+        steps.push_back({at, Kind::RoutesAdded, leastRoutes + random() % routesSpread, moment});
+        for (auto more = random() % mostVersions; more > 0; --more) {
+            at += milliseconds(2 + random() % quickGapMs);
+            const Kind kind = small.at(random() % small.size());
+            const size_t routes =
+                kind == Kind::RoutesAdded ? leastRoutes + random() % routesSpread : 1;
+            steps.push_back({at, kind, routes, moment});
+        }
+        at += milliseconds(2 + random() % longestGapMs);
+    }
+    constexpr int weatherGapMs = 4000;
+    constexpr int shortestMs = 500;
+    constexpr int lengthSpreadMs = 3000;
+    constexpr std::array weather = {Kind::CallerBurst, Kind::GatewayStoreNarrow, Kind::StoreSlow,
+                                    Kind::StoreLossy};
+    for (at = milliseconds(random() % weatherGapMs); at < faults;
+         at += milliseconds(2 + random() % weatherGapMs)) {
+        const Kind kind = weather.at(random() % weather.size());
+        const Step step = {at, kind, random() % gateways,
+                           milliseconds(shortestMs + random() % lengthSpreadMs)};
+        if (mayAccompanyGrowth(seed, step, gateways))
+            steps.push_back(step);
+    }
+    return steps;
+}
+
+auto FaultScript::mayAccompanyGrowth(std::uint64_t seed, const Step &step, size_t gateways) -> bool
+{
+    if (isOperatorAction(step.kind) || step.kind == Kind::CallerBurst)
+        return true;
+    if (seed % GrowthMixes == GrowthAlone)
+        return false;
+    const bool isOfOneGateway =
+        isGatewayFault(step.kind) && step.target == seed / GrowthMixes % gateways;
+    return isOfOneGateway || seed % GrowthMixes != GrowthBesideOneGateway;
+}
+
 auto FaultScript::describe(const Step &step) -> std::string
 {
     std::array<char, 128> text = {};
@@ -141,7 +236,7 @@
         });
         m_world.reactor().callAfter(step.at + step.lasts, [self, step] {
             self->noteDisturbances();
-            std::erase_if(self->m_active, [&](const Step &one) { return one.at == step.at; });
+            std::erase(self->m_active, step);
             self->end(step);
         });
     }
@@ -175,12 +270,29 @@
         return beginStoreFault(step);
     if (isEngineFault(step.kind))
         return beginEngineFault(step);
-    if (step.kind == Kind::NewConfiguration)
-        m_world.putConfiguration();
-    else if (step.kind == Kind::RouteChange)
-        m_world.toggleNewRoute();
-    else
-        m_world.withdrawKey();
+    beginOperatorAction(step);
+}
+
+auto FaultScript::beginOperatorAction(const Step &step) -> void
+{
+    switch (step.kind) {
+    case Kind::NewConfiguration:
+        return m_world.putConfiguration();
+    case Kind::RouteChange:
+        return m_world.toggleNewRoute();
+    case Kind::KeyWithdrawn:
+        return m_world.withdrawKey();
+    case Kind::CallerBurst:
+        return m_world.setPressing(true);
+    case Kind::RoutesDropped:
+        return m_world.dropRoutes();
+    case Kind::KeyAdded:
+        return m_world.addKey();
+    case Kind::KeyDropped:
+        return m_world.dropKey();
+    default:
+        m_world.addRoutes(static_cast<int>(step.target));
+    }
 }
 
 auto FaultScript::beginGatewayFault(const Step &step) -> void
@@ -204,6 +316,8 @@
         return gateway.storeWire->setSilence(StandInWire::Silence::FromTarget);
     case Kind::GatewayStoreReset:
         return gateway.storeWire->reset();
+    case Kind::GatewayStoreNarrow:
+        return gateway.narrowWire->setMbitPerSecond(NarrowMbitPerSecond);
     case Kind::GatewaySlow:
         return pulse(step);
     case Kind::GatewayStoreSlow:
@@ -225,11 +339,21 @@
         return store.setMode(StoreMode::Silent);
     case Kind::StoreLosesAnswers:
         return store.setLosesAnswers(true);
+    case Kind::StoreLossy:
+        return store.setMode(StoreMode::Lossy);
+    case Kind::StoreSlow:
+        return delayStore(SlowLinkDelay);
     default:
         return store.compact();
     }
 }
 
+auto FaultScript::delayStore(milliseconds delay) -> void
+{
+    for (SoakWorld::Gateway &gateway : m_world.gateways())
+        gateway.storeWire->setDelay(delay);
+}
+
 auto FaultScript::beginEngineFault(const Step &step) -> void
 {
     SoakWorld::Engine &engine = m_world.engines().at(step.target);
@@ -289,10 +413,17 @@
     case Kind::GatewayStoreDelay:
     case Kind::GatewayStoreSlow:
         return gateway->storeWire->setDelay(milliseconds(0));
+    case Kind::GatewayStoreNarrow:
+        return gateway->narrowWire->setMbitPerSecond(gateway->ownMbitPerSecond);
+    case Kind::CallerBurst:
+        return m_world.setPressing(false);
     case Kind::StoreBusy:
     case Kind::StoreReset:
     case Kind::StoreSilent:
+    case Kind::StoreLossy:
         return m_world.store().setMode(StoreMode::Normal);
+    case Kind::StoreSlow:
+        return delayStore(milliseconds(0));
     case Kind::StoreLosesAnswers:
         return m_world.store().setLosesAnswers(false);
     default:
@@ -339,9 +470,7 @@
 /// Lets the process run for a part of each round while the fault lasts.
 auto FaultScript::pulse(const Step &step) -> void
 {
-    const bool isOver = std::none_of(m_active.begin(), m_active.end(),
-                                     [&](const Step &one) { return one.at == step.at; });
-    if (isOver)
+    if (std::find(m_active.begin(), m_active.end(), step) == m_active.end())
         return;
     m_world.gateways().at(step.target).process->signal(SIGSTOP);
     m_world.reactor().callAfter(StandingTime, [self = shared_from_this(), step] {
--- a/tests/auto/platform/soak/faultscript.h
+++ b/tests/auto/platform/soak/faultscript.h
@@ -49,13 +49,24 @@
         // Drawn apart, so that seeds from before mean the same faults.
         GatewaySlow,
         GatewayStoreSlow,
+        GatewayStoreNarrow,
+        StoreSlow,
+        StoreLossy,
+        CallerBurst,
+        RoutesAdded,
+        RoutesDropped,
+        RouteAddedAndUsed,
+        KeyAdded,
+        KeyDropped,
     };
     struct Step
     {
         std::chrono::milliseconds at{0};
         Kind kind = Kind::GatewayFreeze;
-        size_t target = 0; ///< Gateway or engine.
+        size_t target = 0; ///< Gateway or engine; how many routes.
         std::chrono::milliseconds lasts{0};
+
+        auto operator==(const Step &) const -> bool = default;
     };
 
     static auto draw(std::uint64_t seed, std::chrono::milliseconds length, size_t gateways,
@@ -63,6 +74,13 @@
     /// Gateways with slow processors and slow links to the store, beside other faults.
     static auto drawSlowGateways(std::uint64_t seed, std::chrono::milliseconds length,
                                  size_t gateways) -> std::vector<Step>;
+    /// Versions that grow by very many routes, a few in quick succession, and small changes right
+    /// after; with bursts of callers and links to the store that turn slow. The seed decides which
+    /// other faults come beside them until `faults` have passed: none, those of one gateway, or
+    /// all.
+    static auto drawGrowth(std::uint64_t seed, std::chrono::milliseconds length,
+                           std::chrono::milliseconds faults, size_t gateways) -> std::vector<Step>;
+    static auto mayAccompanyGrowth(std::uint64_t seed, const Step &step, size_t gateways) -> bool;
     static auto describe(const Step &step) -> std::string;
 
     FaultScript(SoakWorld &world, std::vector<Step> steps);
@@ -75,7 +93,9 @@
     auto beginStoreFault(const Step &step) -> void;
     auto beginEngineFault(const Step &step) -> void;
     auto end(const Step &step) -> void;
+    auto beginOperatorAction(const Step &step) -> void;
     auto endEngineFault(const Step &step) -> void;
+    auto delayStore(std::chrono::milliseconds delay) -> void;
     auto pulse(const Step &step) -> void;
     auto restartGateway(size_t index) -> void;
     auto awaitStop(size_t index, Utils::TimePoint limit) -> void;
--- a/tests/auto/platform/soak/gatewayprocess.cpp
+++ b/tests/auto/platform/soak/gatewayprocess.cpp
@@ -34,6 +34,8 @@
     GatewayPlace place;
     std::unique_ptr<BoundProcess> process;
     int exitStatus = 0;
+    bool isStopped = false; ///< By a signal.
+    bool isPaused = false;
 
     auto settingsFile() const -> std::string { return folder + '/' + place.name + ".json"; }
     auto logFile() const -> std::string { return folder + '/' + place.name + ".log"; }
@@ -95,6 +97,8 @@
     options.command_line("%s --settings %s", d->program.c_str(), d->settingsFile().c_str());
     options.set_handles(ACE_STDIN, log, log);
     d->process = std::make_unique<BoundProcess>();
+    d->isStopped = false;
+    d->isPaused = false;
     const bool isStarted = d->process->spawn(options) != ACE_INVALID_PID;
     options.release_handles();
     ::close(log);
@@ -105,8 +109,35 @@
     return {};
 }
 
+auto GatewayProcess::pause() -> void
+{
+    if (!d->isPaused && isRunning())
+        d->process->kill(SIGSTOP);
+    d->isPaused = true;
+}
+
+auto GatewayProcess::resume() -> void
+{
+    if (d->isPaused && !d->isStopped && isRunning())
+        d->process->kill(SIGCONT);
+    d->isPaused = false;
+}
+
+auto GatewayProcess::processorTime() const -> std::chrono::nanoseconds
+{
+    if (!d->process)
+        return {};
+    // The gateway has one thread.
+    std::ifstream file("/proc/" + std::to_string(d->process->getpid()) + "/schedstat");
+    std::int64_t used = 0;
+    file >> used;
+    return std::chrono::nanoseconds(used);
+}
+
 auto GatewayProcess::signal(int number) -> void
 {
+    if (number == SIGSTOP || number == SIGCONT)
+        d->isStopped = number == SIGSTOP;
     if (isRunning())
         d->process->kill(number);
 }
--- a/tests/auto/platform/soak/gatewayprocess.h
+++ b/tests/auto/platform/soak/gatewayprocess.h
@@ -3,6 +3,7 @@
 #include <http1/socketaddress.h>
 #include <utils/result.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,11 @@
 
     auto start(bool isFirstStart) -> Utils::Result<void, std::string>;
     auto signal(int number) -> void;
+    /// Stands still until `resume`, which leaves a process alone that a signal has stopped.
+    auto pause() -> void;
+    auto resume() -> void;
+    /// What the process that runs has used; nothing if none does.
+    auto processorTime() const -> std::chrono::nanoseconds;
     /// True until the process has ended; its end is taken note of here.
     auto isRunning() -> bool;
     /// What the last process that ended by itself left: its exit code, or 128 and the signal.
--- a/tests/auto/platform/soak/main.cpp
+++ b/tests/auto/platform/soak/main.cpp
@@ -22,6 +22,8 @@
 constexpr seconds StartTime(3);
 /// After the last fault the system serves again within this time.
 constexpr seconds RecoveryTime(15);
+/// Configurations go on growing for so long after the last fault, so that all gateways are judged.
+constexpr seconds CalmGrowthTime(8);
 constexpr seconds JudgedTime(3);
 /// Share of the requests that must succeed once all has healed.
 constexpr double LeastServed = 0.9;
@@ -33,6 +35,7 @@
     int gateways = 3;
     int callers = 36;
     bool hasSlowGateways = false;
+    bool hasGrowth = false;
     std::string program;
     std::string folder;
 };
@@ -59,11 +62,32 @@
         return {};
     options.faults = seconds(faultSeconds);
     options.hasSlowGateways = line.value("slow", "no") == "yes";
+    options.hasGrowth = line.value("growth", "no") == "yes";
     options.program = line.value("program", "build/bin/acacia-gateway");
     options.folder = line.value("folder");
     return options;
 }
 
+auto drawSteps(const Options &options, size_t gateways, size_t engines)
+    -> std::vector<Soak::FaultScript::Step>
+{
+    auto steps = Soak::FaultScript::draw(options.seed, options.faults, gateways, engines);
+    if (options.hasSlowGateways) {
+        const auto slow =
+            Soak::FaultScript::drawSlowGateways(options.seed, options.faults, gateways);
+        steps.insert(steps.end(), slow.begin(), slow.end());
+    }
+    if (!options.hasGrowth)
+        return steps;
+    std::erase_if(steps, [&](const auto &step) {
+        return !Soak::FaultScript::mayAccompanyGrowth(options.seed, step, gateways);
+    });
+    const auto growth = Soak::FaultScript::drawGrowth(options.seed, options.faults + CalmGrowthTime,
+                                                      options.faults, gateways);
+    steps.insert(steps.end(), growth.begin(), growth.end());
+    return steps;
+}
+
 auto play(Net::Reactor &reactor, const Options &options) -> int
 {
     auto created =
@@ -88,17 +112,15 @@
         return std::pair(chosen, world.gateways()[chosen].process->place().callers);
     };
     std::vector<std::shared_ptr<Soak::SoakCaller>> callers;
+    callers.reserve(static_cast<size_t>(options.callers));
     for (int i = 0; i < options.callers; ++i)
         callers.push_back(std::make_shared<Soak::SoakCaller>(
-            Soak::SoakCaller::Surroundings{reactor, world.promises(), pick}, i,
-            options.seed * 1000 + static_cast<std::uint64_t>(i)));
-    auto steps = Soak::FaultScript::draw(options.seed, options.faults, world.gateways().size(),
-                                         world.engines().size());
-    if (options.hasSlowGateways) {
-        const auto slow = Soak::FaultScript::drawSlowGateways(options.seed, options.faults,
-                                                              world.gateways().size());
-        steps.insert(steps.end(), slow.begin(), slow.end());
-    }
+            Soak::SoakCaller::Surroundings{reactor, world.promises(), pick, options.hasGrowth,
+                                           [&world] { return world.isPressing(); }},
+            i, options.seed * 1000 + static_cast<std::uint64_t>(i)));
+    if (options.hasGrowth)
+        world.weakenGateways(options.seed);
+    const auto steps = drawSteps(options, world.gateways().size(), world.engines().size());
     for (const auto &step : steps)
         std::printf("%s\n", Soak::FaultScript::describe(step).c_str());
     const auto script = std::make_shared<Soak::FaultScript>(world, steps);
@@ -142,6 +164,7 @@
                                {"seconds", "S", "How long faults come"},
                                {"gateways", "N", "Gateway processes"},
                                {"slow", "yes|no", "Also slow processors and slow links"},
+                               {"growth", "yes|no", "Also configurations that grow, weak gateways"},
                                {"callers", "N", "Callers, one request each at a time"},
                                {"program", "FILE", "The gateway's binary"},
                                {"folder", "DIR", "For settings and logs of the gateways"}});
--- a/tests/auto/platform/soak/promisebook.cpp
+++ b/tests/auto/platform/soak/promisebook.cpp
@@ -14,7 +14,7 @@
 /// Bounds of the platform's pages, as this deployment sets them.
 constexpr seconds StableWindow(4); ///< Calm before a bound in time holds.
 constexpr milliseconds LeavingBound(3000); ///< Until a leaving server gets nothing new.
-constexpr milliseconds ChangeBound(3000); ///< Until a change of the configuration holds.
+constexpr milliseconds ChangeBound(3000); ///< Until a configuration holds, `configApplyMs`.
 constexpr milliseconds LeaseTime(3000); ///< Between orders of two holders to one engine.
 constexpr milliseconds LateBound(500); ///< For an answer, after the request's time.
 constexpr seconds QuotaWindow(8);
@@ -39,6 +39,7 @@
     : m_weightsMb(weightsMb)
     , m_modelWeights(std::move(modelWeights))
     , m_disturbedAt(gateways)
+    , m_processStartedAt(gateways)
 { }
 
 auto PromiseBook::noteStart(TimePoint now) -> void
@@ -99,16 +100,55 @@
     }
     const bool isDenial =
         end.status == 401 || end.status == 403 || end.status == 404 || end.status == 400;
-    if (isDenial && m_withdrawnSince.count(attempt.key) == 0 && !attempt.isOnNewRoute)
-        violate("DENIED", id + " was answered " + std::to_string(end.status), now);
-    const bool isMissing = end.status == 404 && attempt.isOnNewRoute && m_hasNewRoute
-        && isCalm(attempt.gateway, m_newRouteSince)
-        && attempt.sentAt - m_newRouteSince > ChangeBound;
-    if (isMissing)
-        violate("CONFIG", id + " got 404 on a route that is there", now);
+    countJudged(attempt);
+    if (isDenial)
+        checkDenial(attempt, end.status, now);
     checkTimeliness(record, end, now);
 }
 
+auto PromiseBook::isDue(const Attempt &attempt, std::optional<TimePoint> since) const -> bool
+{
+    return since && attempt.sentAt - *since > ChangeBound
+        && isCalm(attempt.gateway, attempt.sentAt);
+}
+
+auto PromiseBook::countJudged(const Attempt &attempt) -> void
+{
+    for (const std::string &name : {attempt.key, attempt.route}) {
+        m_judgedThere += isDue(attempt, m_terms.thereSince(name)) ? 1 : 0;
+        m_judgedGone += isDue(attempt, m_terms.goneSince(name)) ? 1 : 0;
+    }
+}
+
+auto PromiseBook::checkDenial(const Attempt &attempt, int status, TimePoint now) -> void
+{
+    if (attempt.isForbidden)
+        return;
+    constexpr int unknownKey = 401;
+    constexpr int unknownRoute = 404;
+    const std::string name = status == unknownKey ? attempt.key
+        : status == unknownRoute                  ? attempt.route
+                                                  : std::string();
+    const std::string what = attempt.id + " was answered " + std::to_string(status) + " at gateway "
+        + std::to_string(attempt.gateway);
+    if (!m_terms.isListed(name))
+        return violate("DENIED", what + ", which no configuration allows", now);
+    const auto since = m_terms.thereSince(name);
+    if (!since)
+        return;
+    const auto age = attempt.sentAt - *since;
+    if (isCalm(attempt.gateway, attempt.sentAt))
+        m_longestUnknown = std::max(m_longestUnknown, age);
+    const std::string term =
+        " for " + name + ", in force for " + std::to_string(Utils::toSeconds(age)) + " s";
+    const TimePoint started = m_processStartedAt.at(attempt.gateway);
+    if (isDue(attempt, since))
+        violate("CONFIG", what + term, now);
+    else if (*since < started && started < attempt.sentAt)
+        // What it reads after its start has this; before that it knows no configuration.
+        violate("DENIED", what + term + ", since before its start", now);
+}
+
 auto PromiseBook::checkSuccess(const Record &record, const AttemptEnd &end, TimePoint now) -> void
 {
     const Attempt &attempt = record.attempt;
@@ -195,13 +235,17 @@
         violate("BUDGET", attempt.id + " ran on too many engines", now);
     if (record.isPromisedNotRun)
         violate("REFUSED", attempt.id + " ran after it was refused", now);
-    const auto withdrawn = m_withdrawnSince.find(attempt.key);
-    if (withdrawn != m_withdrawnSince.end() && attempt.sentAt - withdrawn->second > ChangeBound
-        && isCalm(attempt.gateway, withdrawn->second))
-        violate("CONFIG", attempt.id + " ran with a key that was withdrawn", now);
-    if (attempt.isOnNewRoute && !m_hasNewRoute && attempt.sentAt - m_newRouteSince > ChangeBound
-        && isCalm(attempt.gateway, m_newRouteSince))
-        violate("CONFIG", attempt.id + " ran on a route that was dropped", now);
+    if (attempt.isForbidden)
+        violate("ROUTE", attempt.id + " ran, which no configuration allows", now);
+    for (const std::string &name : {attempt.key, attempt.route}) {
+        const auto gone = m_terms.goneSince(name);
+        if (isDue(attempt, gone))
+            violate("CONFIG",
+                    attempt.id + " ran at gateway " + std::to_string(attempt.gateway) + " with "
+                        + name + ", removed for "
+                        + std::to_string(Utils::toSeconds(attempt.sentAt - *gone)) + " s",
+                    now);
+    }
     checkQuota(attempt, now);
 }
 
@@ -249,15 +293,9 @@
     m_leavingSince[engine] = now;
 }
 
-auto PromiseBook::noteKeyWithdrawn(const std::string &key, TimePoint now) -> void
-{
-    m_withdrawnSince[key] = now;
-}
-
-auto PromiseBook::noteNewRoute(bool isThere, TimePoint now) -> void
+auto PromiseBook::noteProcessStarted(size_t gateway, TimePoint now) -> void
 {
-    m_hasNewRoute = isThere;
-    m_newRouteSince = now;
+    m_processStartedAt.at(gateway) = now;
 }
 
 auto PromiseBook::limit(const std::string &customer, double perSecond, double burst) -> void
@@ -290,6 +328,8 @@
     text << m_records.size() << " requests;";
     for (const auto &[outcome, count] : m_outcomes)
         text << ' ' << outcome << ':' << count;
+    text << "; judged there: " << m_judgedThere << ", gone: " << m_judgedGone
+         << "; unknown at calm gateways for " << Utils::toSeconds(m_longestUnknown) << " s";
     return text.str();
 }
 
--- a/tests/auto/platform/soak/promisebook.h
+++ b/tests/auto/platform/soak/promisebook.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "attempt.h"
+#include "termbook.h"
 
 #include <platform/emulator/emulatedengine.h>
 #include <utils/timepoint.h>
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,8 +38,9 @@
                    const Emulator::EmulatedEngine::Order &order, Utils::TimePoint now) -> void;
     /// The list of servers says since `now` that the engine leaves or is gone.
     auto noteLeaving(const std::string &engine, Utils::TimePoint now) -> void;
-    auto noteKeyWithdrawn(const std::string &key, Utils::TimePoint now) -> void;
-    auto noteNewRoute(bool isThere, Utils::TimePoint now) -> void;
+    /// Routes and keys that the operator adds and drops.
+    auto terms() -> TermBook & { return m_terms; }
+    auto noteProcessStarted(size_t gateway, Utils::TimePoint now) -> void;
     /// Limits what a customer may use: tokens a second and at once.
     auto limit(const std::string &customer, double perSecond, double burst) -> void;
     auto noteProcessEnded(size_t gateway, int status) -> void;
@@ -74,6 +77,10 @@
     auto isCalm(size_t gateway, Utils::TimePoint since) const -> bool;
     auto violate(const std::string &rule, const std::string &what, Utils::TimePoint now) -> void;
     auto checkSuccess(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
+    /// True if the gateway must have the state that has held since then.
+    auto isDue(const Attempt &attempt, std::optional<Utils::TimePoint> since) const -> bool;
+    auto countJudged(const Attempt &attempt) -> void;
+    auto checkDenial(const Attempt &attempt, int status, Utils::TimePoint now) -> void;
     auto checkRun(Record &record, Utils::TimePoint now) -> void;
     auto checkQuota(const Attempt &attempt, Utils::TimePoint now) -> void;
     auto checkTimeliness(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
@@ -86,12 +93,15 @@
     std::map<std::string, Utils::TimePoint> m_linkHarmedAt; ///< By engine.
     std::map<std::string, Record> m_records;
     std::map<std::string, Utils::TimePoint> m_leavingSince; ///< By engine.
-    std::map<std::string, Utils::TimePoint> m_withdrawnSince; ///< By key.
-    bool m_hasNewRoute = false;
-    Utils::TimePoint m_newRouteSince;
+    TermBook m_terms;
+    std::vector<Utils::TimePoint> m_processStartedAt; ///< By gateway.
     std::map<std::string, Quota> m_quotas;
     std::map<std::string, LastOrder> m_orders; ///< By engine.
     std::map<std::string, int> m_outcomes;
+    int m_judgedThere = 0; ///< Requests for what had been there, or gone, beyond the bound.
+    int m_judgedGone = 0;
+    /// Longest that a calm gateway has refused what was in force.
+    Utils::Duration m_longestUnknown{0};
     std::vector<std::string> m_violations;
 };
 
--- a/tests/auto/platform/soak/soakcaller.cpp
+++ b/tests/auto/platform/soak/soakcaller.cpp
@@ -15,6 +15,9 @@
 /// Later than any gateway may answer; then the caller gives up by itself.
 constexpr milliseconds LongestWait(3000);
 constexpr int MostPauseMs = 150;
+constexpr int PressingPauseMs = 20;
+constexpr int ProbePercent = 25;
+constexpr int ForbiddenPercent = 5;
 constexpr int LeavingPercent = 3;
 constexpr int NewConnectionPercent = 10;
 constexpr int TokensEachWay = 10;
@@ -52,12 +55,12 @@
 
 auto SoakCaller::nextLater() -> void
 {
-    m_around.reactor.callAfter(milliseconds(1 + m_random() % MostPauseMs),
-                               [weak = weak_from_this()] {
-                                   const auto self = weak.lock();
-                                   if (self && !self->m_isStopped)
-                                       self->next();
-                               });
+    const int longest = m_around.isPressing() ? PressingPauseMs : MostPauseMs;
+    m_around.reactor.callAfter(milliseconds(1 + m_random() % longest), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_isStopped)
+            self->next();
+    });
 }
 
 auto SoakCaller::makeAttempt() -> Attempt
@@ -87,9 +90,9 @@
     default:
         attempt.kind = RequestKind::Repeatable;
         attempt.target = "/extra/" + attempt.id;
-        attempt.isOnNewRoute = true;
         break;
     }
+    attempt.route = attempt.target.substr(0, attempt.target.find('/', 1) + 1);
     // One customer asks for more than it may; one key is withdrawn on the way.
     constexpr int greedy = 4;
     constexpr int withdrawn = 9;
@@ -103,6 +106,27 @@
     return attempt;
 }
 
+auto SoakCaller::makeProbe() -> Attempt
+{
+    Attempt attempt;
+    attempt.id = std::to_string(m_number) + '-' + std::to_string(++m_count);
+    attempt.patience = Patience;
+    attempt.tokens = 2 * TokensEachWay;
+    attempt.route = "/look/";
+    attempt.key = "key-county";
+    attempt.customer = "county";
+    const std::string name = m_around.promises.terms().pick(m_random);
+    attempt.isForbidden = chance(ForbiddenPercent);
+    if (attempt.isForbidden && m_random() % 2 == 0)
+        attempt.key = "key-never";
+    else if (attempt.isForbidden)
+        attempt.route = "/never/";
+    else
+        (TermBook::isRoute(name) ? attempt.route : attempt.key) = name;
+    attempt.target = attempt.route + attempt.id;
+    return attempt;
+}
+
 auto SoakCaller::next() -> void
 {
     if (!m_connection || !m_connection->isReusable() || chance(NewConnectionPercent)) {
@@ -114,7 +138,8 @@
         m_connection = std::move(*connection);
         m_gateway = gateway;
     }
-    Attempt attempt = makeAttempt();
+    const bool isProbe = m_around.followsChanges && chance(ProbePercent);
+    Attempt attempt = isProbe ? makeProbe() : makeAttempt();
     attempt.gateway = m_gateway;
     attempt.sentAt = m_around.reactor.now();
     m_around.promises.noteSent(attempt);
--- a/tests/auto/platform/soak/soakcaller.h
+++ b/tests/auto/platform/soak/soakcaller.h
@@ -32,6 +32,9 @@
         PromiseBook &promises;
         /// Gateway for a new connection, and its address.
         std::function<std::pair<size_t, Http1::SocketAddress>(std::mt19937_64 &)> pickGateway;
+        /// Also asks for what the operator adds and drops.
+        bool followsChanges = false;
+        std::function<bool()> isPressing;
     };
 
     SoakCaller(Surroundings surroundings, int number, std::uint64_t seed);
@@ -47,6 +50,8 @@
     auto nextLater() -> void;
     auto next() -> void;
     auto makeAttempt() -> Attempt;
+    /// For what a new version of the configuration has changed, or what was never there.
+    auto makeProbe() -> Attempt;
     auto send(const Attempt &attempt) -> void;
     auto takeEnd(const std::string &id, bool isWhole) -> void;
     /// Closes the connection; not by its own wish if no answer came in any time.
--- a/tests/auto/platform/soak/soakworld.cpp
+++ b/tests/auto/platform/soak/soakworld.cpp
@@ -1,9 +1,14 @@
 #include "soakworld.h"
 
+#include <net/periodictimer.h>
 #include <net/reactor.h>
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cstdio>
+#include <random>
+
 #include <unistd.h>
 
 namespace Soak {
@@ -17,6 +22,13 @@
 constexpr double ModelWeightsMb = 60000;
 constexpr int ModelCount = 5;
 constexpr double IslandTokensPerSecond = 300;
+/// Added routes of one configuration.
+constexpr size_t MostRoutes = 2200;
+constexpr std::chrono::milliseconds ChokeTick(50);
+/// Bounds of the platform's pages: a link at which packets wait longer than `ChokedWait` while
+/// callers press, and `AfterPress` after, counts as disturbed.
+constexpr std::chrono::milliseconds ChokedWait(500);
+constexpr std::chrono::seconds AfterPress(5);
 
 auto modelName(int number) -> std::string
 {
@@ -67,8 +79,12 @@
     , m_promises(std::make_unique<PromiseBook>(gateways, EngineWeightsMb, weights()))
 {
     m_promises->limit("island", IslandTokensPerSecond, IslandTokensPerSecond);
+    m_promises->terms().add("/extra/", reactor.now());
+    m_promises->terms().add("key-withdrawn", reactor.now());
 }
 
+SoakWorld::~SoakWorld() = default;
+
 auto SoakWorld::create(Net::Reactor &reactor, const std::string &program, const std::string &folder,
                        int gateways) -> Utils::Result<std::unique_ptr<SoakWorld>, std::string>
 {
@@ -86,11 +102,15 @@
             return tl::unexpected(added.error());
     }
     for (int i = 0; i < gateways; ++i) {
-        auto wire = StandIns::StandInWire::create(reactor, "127.0.0.1:0",
-                                                  world->m_store->address().toString());
+        auto narrow = NarrowWire::create(reactor, world->m_store->address());
+        if (!narrow)
+            return tl::unexpected(narrow.error());
+        auto wire =
+            StandIns::StandInWire::create(reactor, "127.0.0.1:0", (*narrow)->address().toString());
         if (!wire)
             return tl::unexpected(wire.error());
         Gateway gateway;
+        gateway.narrowWire = std::move(*narrow);
         gateway.storeWire = std::move(*wire);
         const GatewayPlace place = {"g" + std::to_string(i), world->freeAddress(),
                                     world->freeAddress(),    world->freeAddress(),
@@ -155,6 +175,7 @@
 {
     Gateway &gateway = m_gateways.at(index);
     gateway.isExpectedToRun = true;
+    m_promises->noteProcessStarted(index, m_reactor.now());
     return gateway.process->start(isFirstStart);
 }
 
@@ -186,7 +207,10 @@
                    describeRoute("/batch/", "streaming", "lm", true, 2)};
     if (m_hasNewRoute)
         routes.push_back(describeRoute("/extra/", "safe", "app", false, 2));
+    for (const std::string &prefix : m_addedRoutes)
+        routes.push_back(describeRoute(prefix, "safe", "app", false, 2));
     std::vector<std::string> keys = {"key-county"};
+    keys.insert(keys.end(), m_addedKeys.begin(), m_addedKeys.end());
     if (m_hasWithdrawnKey)
         keys.emplace_back("key-withdrawn");
     constexpr double plenty = 1000000;
@@ -217,7 +241,10 @@
 {
     m_hasNewRoute = !m_hasNewRoute;
     putConfiguration();
-    m_promises->noteNewRoute(m_hasNewRoute, m_reactor.now());
+    if (m_hasNewRoute)
+        m_promises->terms().add("/extra/", m_reactor.now());
+    else
+        m_promises->terms().remove("/extra/", m_reactor.now());
 }
 
 auto SoakWorld::withdrawKey() -> void
@@ -226,7 +253,91 @@
         return;
     m_hasWithdrawnKey = false;
     putConfiguration();
-    m_promises->noteKeyWithdrawn("key-withdrawn", m_reactor.now());
+    m_promises->terms().remove("key-withdrawn", m_reactor.now());
+}
+
+auto SoakWorld::addRoutes(int count) -> void
+{
+    const size_t before = m_addedRoutes.size();
+    for (int i = 0; i < count; ++i)
+        m_addedRoutes.push_back("/g" + std::to_string(++m_addedNames) + '/');
+    const std::vector<std::string> added(
+        m_addedRoutes.begin() + static_cast<std::ptrdiff_t>(before), m_addedRoutes.end());
+    dropOldRoutes(MostRoutes);
+    for (const std::string &prefix : added)
+        m_promises->terms().add(prefix, m_reactor.now());
+}
+
+auto SoakWorld::dropRoutes() -> void
+{
+    dropOldRoutes(m_addedRoutes.size() / 2);
+}
+
+auto SoakWorld::dropOldRoutes(size_t kept) -> void
+{
+    std::vector<std::string> dropped;
+    while (m_addedRoutes.size() > kept) {
+        dropped.push_back(m_addedRoutes.front());
+        m_addedRoutes.pop_front();
+    }
+    putConfiguration();
+    for (const std::string &prefix : dropped)
+        m_promises->terms().remove(prefix, m_reactor.now());
+}
+
+auto SoakWorld::addKey() -> void
+{
+    m_addedKeys.push_back("key-" + std::to_string(++m_addedNames));
+    putConfiguration();
+    m_promises->terms().add(m_addedKeys.back(), m_reactor.now());
+}
+
+auto SoakWorld::dropKey() -> void
+{
+    if (m_addedKeys.empty())
+        return;
+    const std::string key = m_addedKeys.back();
+    m_addedKeys.pop_back();
+    putConfiguration();
+    m_promises->terms().remove(key, m_reactor.now());
+}
+
+auto SoakWorld::weakenGateways(std::uint64_t seed) -> void
+{
+    constexpr std::array<double, 4> links = {10, 6, 4, 0}; // Mbit/s
+    constexpr std::array<int, 3> shares = {0, 20, 9}; // ms of each 100
+    constexpr std::uint64_t apart = 0x3ea4;
+    std::mt19937_64 random(seed + apart);
+    for (size_t i = 0; i < m_gateways.size(); ++i) {
+        Gateway &gateway = m_gateways[i];
+        gateway.ownMbitPerSecond = links.at(random() % links.size());
+        gateway.narrowWire->setMbitPerSecond(gateway.ownMbitPerSecond);
+        const int share = shares.at(random() % shares.size());
+        if (share > 0)
+            gateway.quota = std::make_unique<ProcessorQuota>(m_reactor, *gateway.process,
+                                                             std::chrono::milliseconds(share));
+        std::printf("gateway %zu: %.0f Mbit/s from the store, %d ms of each 100 (0: no limit)\n", i,
+                    gateway.ownMbitPerSecond, share);
+    }
+    m_chokeTimer =
+        std::make_unique<Net::PeriodicTimer>(m_reactor, ChokeTick, [this] { noteChokedLinks(); });
+}
+
+auto SoakWorld::setPressing(bool presses) -> void
+{
+    m_isPressing = presses;
+    m_pressedAt = m_reactor.now();
+}
+
+auto SoakWorld::noteChokedLinks() -> void
+{
+    const Utils::TimePoint now = m_reactor.now();
+    if (m_isPressing)
+        m_pressedAt = now;
+    for (size_t i = 0; i < m_gateways.size(); ++i) {
+        if (now - m_pressedAt < AfterPress && m_gateways[i].narrowWire->backlogTime() > ChokedWait)
+            m_promises->noteDisturbed(i, now);
+    }
 }
 
 } // namespace Soak
--- a/tests/auto/platform/soak/soakworld.h
+++ b/tests/auto/platform/soak/soakworld.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gatewayprocess.h"
+#include "narrowwire.h"
+#include "processorquota.h"
 #include "promisebook.h"
 
 #include <platform/emulator/emulatedengine.h>
@@ -9,14 +11,16 @@
 #include <utils/result.h>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 namespace Net {
+class PeriodicTimer;
 class Reactor;
-}
+} // namespace Net
 
 namespace Soak {
 
@@ -27,8 +31,11 @@
 public:
     struct Gateway
     {
+        std::unique_ptr<NarrowWire> narrowWire; ///< Between the store and `storeWire`.
         std::unique_ptr<StandIns::StandInWire> storeWire;
         std::unique_ptr<GatewayProcess> process;
+        std::unique_ptr<ProcessorQuota> quota;
+        double ownMbitPerSecond = 0; ///< Of its link by nature; 0 means no limit.
         bool isExpectedToRun = false;
     };
     struct Engine
@@ -41,6 +48,8 @@
     static auto create(Net::Reactor &reactor, const std::string &program, const std::string &folder,
                        int gateways) -> Utils::Result<std::unique_ptr<SoakWorld>, std::string>;
 
+    ~SoakWorld();
+
     auto reactor() -> Net::Reactor & { return m_reactor; }
     auto store() -> Emulator::EmulatedStore & { return *m_store; }
     auto gateways() -> std::vector<Gateway> & { return m_gateways; }
@@ -52,6 +61,18 @@
     auto putConfiguration() -> void;
     auto toggleNewRoute() -> void;
     auto withdrawKey() -> void;
+    /// Adds so many routes by one version, which drops the oldest beyond `MostRoutes`.
+    auto addRoutes(int count) -> void;
+    /// Drops half of the routes that were added.
+    auto dropRoutes() -> void;
+    auto addKey() -> void;
+    /// Withdraws the key that was added last.
+    auto dropKey() -> void;
+    /// Gives gateways weak links and processors, drawn from the seed, as their nature.
+    auto weakenGateways(std::uint64_t seed) -> void;
+    /// Callers ask with hardly a pause.
+    auto setPressing(bool presses) -> void;
+    auto isPressing() const -> bool { return m_isPressing; }
     /// The engine goes on under another name, as a new one at the same address.
     auto replaceEngine(size_t index) -> void;
     /// Notes gateways that ended without having been told to.
@@ -63,6 +84,8 @@
     auto addEngine(const std::string &service, const std::set<std::string> &models)
         -> Utils::Result<void, std::string>;
     auto freeAddress() -> Http1::SocketAddress;
+    auto dropOldRoutes(size_t kept) -> void;
+    auto noteChokedLinks() -> void;
 
     Net::Reactor &m_reactor;
     std::unique_ptr<Emulator::EmulatedStore> m_store;
@@ -74,6 +97,12 @@
     int m_engineNames = 0;
     bool m_hasNewRoute = true;
     bool m_hasWithdrawnKey = true;
+    std::deque<std::string> m_addedRoutes;
+    std::vector<std::string> m_addedKeys;
+    int m_addedNames = 0;
+    bool m_isPressing = false;
+    Utils::TimePoint m_pressedAt;
+    std::unique_ptr<Net::PeriodicTimer> m_chokeTimer;
 };
 
 } // namespace Soak
--- a/tests/e2e/soak.sh
+++ b/tests/e2e/soak.sh
@@ -1,15 +1,15 @@
 #!/usr/bin/env bash
-# Plays the seeds of the fault soak: those that failed once, and one more.
+# Plays the seeds of the fault soak: those that failed once, and a few more.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
 work=$(mktemp -d)
 failures=0
 play() {
-    build/bin/acacia-soak --seed "$1" --seconds "$2" --slow "$3" --folder "$work/$1" >"$work/$1.out" 2>&1
+    build/bin/acacia-soak --seed "$1" --seconds "$2" --slow "$3" --growth "$4" --folder "$work/$1" >"$work/$1.out" 2>&1
     echo $? >"$work/$1.rc"
 }
-while read -r seed seconds slow _; do
-    [[ $seed =~ ^[0-9]+$ ]] && play "$seed" "$seconds" "$slow" &
+while read -r seed seconds slow growth _; do
+    [[ $seed =~ ^[0-9]+$ ]] && play "$seed" "$seconds" "$slow" "$growth" &
 done <tests/auto/platform/soak/seeds.txt
 wait
 for rc in "$work"/*.rc; do
