--- /dev/null
+++ b/src/libs/explain/causefinder.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "causecatalogue.h"
+#include "loadhistory.h"
+#include "timeline.h"
+
+#include <string>
+#include <string_view>
+
+namespace Explain {
+
+/// Why a request was not served, or served late.
+struct Finding
+{
+    std::string cause; ///< A name of `causeCatalogue`.
+    std::string because; ///< What in the logs says so.
+};
+
+/// Seconds with three decimals, such as "1.423 s".
+auto secondsText(std::chrono::milliseconds time) -> std::string;
+
+/// Finds causes in what all gateways' logs say.
+class CauseFinder
+{
+public:
+    CauseFinder(const Timeline &timeline, const LateLimits &limits);
+
+    auto limits() const -> const LateLimits &;
+    /// The cause of a refused, failed or late request.
+    auto find(const RequestEnd &end) const -> Finding;
+
+private:
+    /// What became of the server in that time: that it died, or said it leaves, or nothing.
+    auto serverEnd(std::string_view server, std::chrono::milliseconds from,
+                   std::chrono::milliseconds until) const -> std::optional<ContextEvent>;
+    auto hasJustStarted(const ContextEvent &event) const -> bool;
+    auto findLate(const RequestEnd &end) const -> Finding;
+    auto findConfiguration(const RequestEnd &end) const -> Finding;
+    auto findLoad(const RequestEnd &end) const -> Finding;
+    auto findNoOrder(const RequestEnd &end, const LoadHistory &loads) const -> Finding;
+    auto findServer(const RequestEnd &end) const -> Finding;
+    auto findNoServer(const RequestEnd &end) const -> Finding;
+
+    const Timeline &m_timeline;
+    LateLimits m_limits;
+};
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/logfiles.cpp
@@ -0,0 +1,115 @@
+#include "logfiles.h"
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+
+namespace Explain {
+
+namespace {
+
+/// Bytes that are read at once. Longer lines are not given as a whole.
+constexpr size_t BlockBytes = 1 << 20;
+
+const std::string standardInputPath = "-";
+
+auto failure(const std::string &path, const char *reason) -> tl::unexpected<std::string>
+{
+    return tl::unexpected(path + ": " + reason);
+}
+
+} // namespace
+
+auto LogFiles::Closer::operator()(std::FILE *file) const -> void
+{
+    std::fclose(file);
+}
+
+auto LogFiles::open(const std::vector<std::string> &paths, std::FILE *standardInput)
+    -> Utils::Result<LogFiles, std::string>
+{
+    LogFiles files;
+    for (const std::string &path : paths) {
+        for (const Log &log : files.m_logs) {
+            if (log.path == path)
+                return failure(path, "is given twice");
+        }
+        Log log = {path, nullptr};
+        std::error_code error;
+        if (path == standardInputPath) {
+            log.copy = copyOf(standardInput);
+            if (!log.copy)
+                return failure("standard input", "cannot be copied to a temporary file");
+        } else if (std::filesystem::is_directory(path, error)) {
+            return failure(path, "is a directory, expected a log file");
+        } else if (!File(std::fopen(path.c_str(), "r"))) {
+            return failure(path, std::strerror(errno));
+        }
+        files.m_logs.push_back(std::move(log));
+    }
+    if (files.m_logs.empty())
+        return tl::unexpected(std::string("no log is given"));
+    return files;
+}
+
+auto LogFiles::copyOf(std::FILE *input) -> File
+{
+    File copy(std::tmpfile());
+    if (!copy)
+        return nullptr;
+    std::vector<char> block(BlockBytes);
+    while (const size_t count = std::fread(block.data(), 1, block.size(), input)) {
+        if (std::fwrite(block.data(), 1, count, copy.get()) != count)
+            return nullptr;
+    }
+    const bool isWhole = std::ferror(input) == 0 && std::fflush(copy.get()) == 0;
+    return isWhole ? std::move(copy) : nullptr;
+}
+
+auto LogFiles::forEachLine(const std::function<void(std::string_view line)> &take) const
+    -> Utils::Result<void, std::string>
+{
+    for (const Log &log : m_logs) {
+        if (log.copy) {
+            std::rewind(log.copy.get());
+            if (!readLines(log.copy.get(), take))
+                return failure("standard input", "cannot be read");
+            continue;
+        }
+        const File file(std::fopen(log.path.c_str(), "r"));
+        if (!file || !readLines(file.get(), take))
+            return failure(log.path, std::strerror(errno));
+    }
+    return {};
+}
+
+auto LogFiles::readLines(std::FILE *file, const std::function<void(std::string_view)> &take) -> bool
+{
+    std::vector<char> block(BlockBytes);
+    size_t kept = 0;
+    bool isInLongLine = false;
+    while (const size_t count = std::fread(block.data() + kept, 1, block.size() - kept, file)) {
+        std::string_view rest(block.data(), kept + count);
+        for (auto end = rest.find('\n'); end != std::string_view::npos; end = rest.find('\n')) {
+            // The end of a line that was too long belongs to the part that was given before.
+            if (!isInLongLine && end > 0)
+                take(rest.substr(0, end));
+            isInLongLine = false;
+            rest.remove_prefix(end + 1);
+        }
+        if (rest.size() == block.size()) {
+            if (!isInLongLine)
+                take(rest);
+            isInLongLine = true;
+            rest = {};
+        }
+        kept = rest.size();
+        if (kept > 0)
+            std::memmove(block.data(), rest.data(), kept);
+    }
+    if (kept > 0 && !isInLongLine)
+        take(std::string_view(block.data(), kept));
+    return std::ferror(file) == 0;
+}
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/logfiles.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <utils/result.h>
+
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Explain {
+
+/// Logs that can be read more than once, line by line.
+class LogFiles
+{
+public:
+    /// Opens the logs. `-` is `standardInput`, which is copied to an unnamed temporary file.
+    static auto open(const std::vector<std::string> &paths, std::FILE *standardInput)
+        -> Utils::Result<LogFiles, std::string>;
+
+    /// Gives every line of one log after the other; an error names the log that can't be read.
+    auto forEachLine(const std::function<void(std::string_view line)> &take) const
+        -> Utils::Result<void, std::string>;
+
+private:
+    struct Closer
+    {
+        auto operator()(std::FILE *file) const -> void;
+    };
+    using File = std::unique_ptr<std::FILE, Closer>;
+    struct Log
+    {
+        std::string path;
+        File copy; ///< Of the standard input. Files are opened when they are read.
+    };
+
+    static auto copyOf(std::FILE *input) -> File;
+    static auto readLines(std::FILE *file, const std::function<void(std::string_view)> &take)
+        -> bool;
+
+    std::vector<Log> m_logs;
+};
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/logline.cpp
@@ -0,0 +1,90 @@
+#include "logline.h"
+
+#include <utils/jsonfield.h>
+
+#include <charconv>
+#include <cstring>
+
+namespace Explain {
+
+using nlohmann::json;
+
+namespace {
+
+/// What follows the key; empty if the key is not there.
+auto afterKey(std::string_view object, std::string_view key) -> std::string_view
+{
+    const void *found = memmem(object.data(), object.size(), key.data(), key.size());
+    if (!found)
+        return {};
+    const auto at = static_cast<size_t>(static_cast<const char *>(found) - object.data());
+    return object.substr(at + key.size());
+}
+
+} // namespace
+
+auto LogLine::text(const char *name) const -> std::string
+{
+    return Utils::fieldOr(fields, name, "");
+}
+
+auto LogLine::number(const char *name, std::int64_t fallback) const -> std::int64_t
+{
+    return Utils::fieldOr(fields, name, fallback);
+}
+
+auto LogLine::request() const -> std::string
+{
+    return Utils::fieldOr(fields, "request", text("requestId"));
+}
+
+auto objectOf(std::string_view line) -> std::string_view
+{
+    const auto begin = line.find('{');
+    const auto end = line.find_last_not_of(" \t\r\n");
+    if (begin == std::string_view::npos || line[end] != '}')
+        return {};
+    return line.substr(begin, end - begin + 1);
+}
+
+auto parseLogLine(std::string_view object) -> std::optional<LogLine>
+{
+    LogLine line;
+    line.fields = json::parse(object, nullptr, false);
+    line.gateway = line.text("process");
+    line.time = std::chrono::milliseconds(line.number("time"));
+    const auto event = line.number("event");
+    if (line.fields.is_discarded() || line.gateway.empty() || line.time.count() < 0 || event < 0)
+        return std::nullopt;
+    line.event = static_cast<Utils::Event>(event);
+    return line;
+}
+
+auto rawNumber(std::string_view object, std::string_view key) -> std::optional<std::int64_t>
+{
+    const auto rest = afterKey(object, key);
+    std::int64_t value = 0;
+    const auto result = std::from_chars(rest.data(), rest.data() + rest.size(), value);
+    return result.ec == std::errc() ? std::optional(value) : std::nullopt;
+}
+
+auto rawText(std::string_view object, std::string_view key) -> std::string_view
+{
+    const auto rest = afterKey(object, key);
+    if (rest.empty() || rest.front() != '"')
+        return {};
+    const auto end = rest.find('"', 1);
+    return end == std::string_view::npos ? std::string_view() : rest.substr(1, end - 1);
+}
+
+auto isServedLine(std::string_view object) -> bool
+{
+    return rawNumber(object, "\"event\":") == static_cast<int>(Utils::Event::RequestServed);
+}
+
+auto contains(std::string_view text, std::string_view part) -> bool
+{
+    return memmem(text.data(), text.size(), part.data(), part.size()) != nullptr;
+}
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/logsearch.cpp
@@ -0,0 +1,75 @@
+#include "logsearch.h"
+
+namespace Explain {
+
+namespace {
+
+/// Lines of one id that are kept; a caller may use one id for everything.
+constexpr size_t MostRequestLines = 1000;
+
+auto unusable(const std::string &message) -> tl::unexpected<LogError>
+{
+    return tl::unexpected(LogError{LogError::Kind::Unusable, message});
+}
+
+/// Reads all lines into the timeline, and beside it to `also`.
+auto readTimeline(const LogFiles &logs, Timeline &timeline,
+                  const std::function<void(std::string_view)> &also)
+    -> Utils::Result<void, LogError>
+{
+    const auto read = logs.forEachLine([&](std::string_view line) {
+        timeline.take(line);
+        if (also)
+            also(line);
+    });
+    if (!read)
+        return unusable(read.error());
+    timeline.finish();
+    if (timeline.lines() == timeline.linesSkipped())
+        return unusable("no line of a gateway's log among " + std::to_string(timeline.lines())
+                        + " lines");
+    return {};
+}
+
+} // namespace
+
+auto explainRequest(const LogFiles &logs, const std::string &id, const LateLimits &limits)
+    -> Utils::Result<Story, LogError>
+{
+    const std::string quoted =
+        nlohmann::json(id).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    Timeline timeline;
+    std::vector<LogLine> lines;
+    const auto read = readTimeline(logs, timeline, [&](std::string_view line) {
+        if (lines.size() >= MostRequestLines || !contains(line, quoted))
+            return;
+        const auto parsed = parseLogLine(objectOf(line));
+        if (parsed && parsed->request() == id)
+            lines.push_back(*parsed);
+    });
+    if (!read)
+        return tl::unexpected(read.error());
+    if (lines.empty())
+        return tl::unexpected(LogError{LogError::Kind::UnknownRequest,
+                                       "no line of request " + id + " among "
+                                           + std::to_string(timeline.lines()) + " lines"});
+    const CauseFinder finder(timeline, limits);
+    return Story::of(id, std::move(lines), timeline, finder);
+}
+
+auto countLosses(const LogFiles &logs, const LateLimits &limits)
+    -> Utils::Result<LossReport, LogError>
+{
+    Timeline timeline;
+    const auto read = readTimeline(logs, timeline, nullptr);
+    if (!read)
+        return tl::unexpected(read.error());
+    const CauseFinder finder(timeline, limits);
+    Losses losses(timeline, finder);
+    const auto counted = logs.forEachLine([&losses](std::string_view line) { losses.take(line); });
+    if (!counted)
+        return unusable(counted.error());
+    return LossReport{losses.text(), losses.toJson()};
+}
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/losses.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "causefinder.h"
+
+#include <map>
+
+namespace Explain {
+
+/// Requests with one cause.
+struct Loss
+{
+    size_t count = 0;
+    std::string example; ///< The id of one of them.
+    std::map<std::string, size_t> outcomes;
+};
+
+/// Counts by cause every request that was not served, or served late.
+class Losses
+{
+public:
+    /// `timeline` and `finder` must outlive it.
+    Losses(const Timeline &timeline, const CauseFinder &finder);
+
+    /// Takes any line of a log. The timeline must have all lines already.
+    auto take(std::string_view line) -> void;
+
+    auto servedInTime() const -> size_t;
+    auto servedLate() const -> size_t;
+    auto notServed() const -> size_t;
+    /// By the name of the cause; their sum is `notServed`.
+    auto notServedByCause() const -> const std::map<std::string, Loss> &;
+    /// Their sum is `servedLate`.
+    auto lateByCause() const -> const std::map<std::string, Loss> &;
+
+    auto text() const -> std::string;
+    auto toJson() const -> nlohmann::json;
+
+private:
+    auto takeServed(std::string_view object) -> void;
+    auto count(const LogLine &line) -> void;
+
+    const Timeline &m_timeline;
+    const CauseFinder &m_finder;
+    size_t m_servedInTime = 0;
+    size_t m_servedLate = 0;
+    size_t m_notServed = 0;
+    std::map<std::string, Loss> m_notServedByCause;
+    std::map<std::string, Loss> m_lateByCause;
+    /// Of requests that have not ended, by gateway and id.
+    std::map<std::string, RequestTrouble> m_troubles;
+};
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/storyinputs.cpp
@@ -0,0 +1,169 @@
+#include "storyinputs.h"
+
+#include "causefinder.h"
+#include "storyrows.h"
+
+#include <algorithm>
+
+namespace Explain {
+
+using std::chrono::milliseconds;
+using Utils::Event;
+
+namespace {
+
+/// A holder of the duty whose log ended so long before may have died.
+constexpr milliseconds SilentHolder(5000);
+/// Configurations of other gateways that are told apart.
+constexpr size_t MostVersions = 4;
+
+} // namespace
+
+StoryInputs::StoryInputs(const RequestEnd &end, const Timeline &timeline)
+    : m_end(end)
+    , m_timeline(timeline)
+{ }
+
+auto StoryInputs::sentences() const -> std::vector<std::string>
+{
+    std::vector<std::string> all = {ownConfiguration(), othersConfigurations()};
+    if (m_end.outcome == "unknown_route" || m_end.outcome == "wrong_key")
+        all.push_back(nextConfiguration());
+    if (!m_end.server.empty())
+        all.push_back(server(m_end.server));
+    if (!m_end.trouble.brokenServer.empty() && m_end.trouble.brokenServer != m_end.server)
+        all.push_back(server(m_end.trouble.brokenServer));
+    if (!m_end.model.empty()) {
+        all.push_back(model());
+        all.push_back(duty());
+    }
+    all.erase(std::remove(all.begin(), all.end(), std::string()), all.end());
+    return all;
+}
+
+/// Relative to the request's arrival.
+auto StoryInputs::age(milliseconds time) const -> std::string
+{
+    return time <= m_end.arrivedAt ? secondsText(m_end.arrivedAt - time) + " before it came"
+                                   : secondsText(time - m_end.arrivedAt) + " after it came";
+}
+
+auto StoryInputs::ownConfiguration() const -> std::string
+{
+    if (m_end.configuration <= 0)
+        return m_end.gateway + " had no configuration";
+    std::string text = "configuration " + std::to_string(m_end.configuration);
+    const auto start = m_timeline.versionStart(m_end.gateway, m_end.configuration);
+    if (start && start->isTaken)
+        return text + " (" + std::to_string(start->routes) + " routes), taken by " + m_end.gateway
+            + ' ' + age(start->at);
+    return text + ", taken by " + m_end.gateway + " before its log begins";
+}
+
+/// What the other gateways had by then.
+auto StoryInputs::othersConfigurations() const -> std::string
+{
+    struct Holders
+    {
+        size_t count = 0;
+        size_t byRequests = 0; ///< Of them, those that may have had a newer one.
+        std::string first;
+        VersionStart start;
+    };
+    std::map<std::int64_t, Holders, std::greater<>> byVersion;
+    size_t unknown = 0;
+    for (const auto &[gateway, versions] : m_timeline.configurations()) {
+        if (gateway == m_end.gateway)
+            continue;
+        const auto *known = m_timeline.newestAt(versions, m_end.arrivedAt);
+        if (!known) {
+            ++unknown;
+            continue;
+        }
+        Holders &holders = byVersion[known->first];
+        holders.byRequests += known->second.isTaken ? 0 : 1;
+        if (holders.count++ == 0 || known->second.at < holders.start.at) {
+            holders.first = gateway;
+            holders.start = known->second;
+        }
+    }
+    std::string text;
+    size_t told = 0;
+    for (const auto &[version, holders] : byVersion) {
+        if (told++ == MostVersions) {
+            text += ", and older ones";
+            break;
+        }
+        text += (text.empty() ? "" : ", ") + std::to_string(version) + " at "
+            + std::to_string(holders.count);
+        if (holders.byRequests > 0)
+            text += " (" + std::to_string(holders.byRequests) + " known by requests only)";
+        if (version > m_end.configuration) {
+            text += " (" + std::to_string(holders.start.routes) + " routes, first " + holders.first
+                + ' ' + age(holders.start.at) + ')';
+        }
+    }
+    if (unknown > 0)
+        text += (text.empty() ? "" : ", ") + ("not known of " + std::to_string(unknown));
+    return text.empty() ? "no other gateway is in these logs" : "other gateways then: " + text;
+}
+
+/// When the gateway came to a newer one.
+auto StoryInputs::nextConfiguration() const -> std::string
+{
+    const auto versions = m_timeline.configurations().find(m_end.gateway);
+    if (versions == m_timeline.configurations().end())
+        return {};
+    const auto next = versions->second.upper_bound(m_end.configuration);
+    if (next == versions->second.end())
+        return m_end.gateway + " took no newer one in these logs";
+    return m_end.gateway + " took " + std::to_string(next->first) + ' ' + age(next->second.at);
+}
+
+/// The last that the gateway had learned of the server.
+auto StoryInputs::server(const std::string &id) const -> std::string
+{
+    const auto &events = m_timeline.ofServer(id);
+    const auto range = Timeline::between(events, milliseconds(0), m_end.endedAt);
+    for (auto event = range.second; event != range.first;) {
+        --event;
+        if (event->gateway == m_end.gateway)
+            return "server " + id + ": " + eventName(event->event)
+                + (event->flag ? ", leaving, " : " ") + age(event->time);
+    }
+    return "server " + id + ": nothing new of it at " + m_end.gateway + " since the log began";
+}
+
+/// What the model's last order before the request was.
+auto StoryInputs::model() const -> std::string
+{
+    const auto range = Timeline::between(m_timeline.orders(), milliseconds(0), m_end.arrivedAt);
+    for (auto order = range.second; order != range.first;) {
+        --order;
+        const bool isAdapters = !order->adapter.empty() && order->adapter == m_end.adapter();
+        if (order->model == m_end.baseModel()
+            && (isAdapters || order->event != Event::OrderAnswered))
+            return "model " + std::string(order->model) + ": " + eventName(order->event)
+                + (isAdapters ? " for adapter " + m_end.model : "") + " at "
+                + std::string(order->server) + ' ' + age(order->time);
+    }
+    return "model " + std::string(m_end.baseModel()) + ": no order for it before in these logs";
+}
+
+auto StoryInputs::duty() const -> std::string
+{
+    const auto holder = m_timeline.dutyHolderAt(m_end.endedAt);
+    if (!holder)
+        return m_timeline.duties().empty() ? "placement duty: not in these logs"
+                                           : "placement duty: held by nobody";
+    std::string text = "placement duty: " + std::string(holder->gateway);
+    text += holder->isTaken ? ", taken " + age(holder->since)
+                            : ", known by its order " + age(holder->since);
+    const auto span = m_timeline.spanOf(holder->gateway);
+    if (span && span->end + SilentHolder < m_end.endedAt)
+        text += "; its log ends " + secondsText(m_end.endedAt - span->end)
+            + " before the request's end";
+    return text;
+}
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/storyinputs.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "requestend.h"
+#include "timeline.h"
+
+#include <string>
+#include <vector>
+
+namespace Explain {
+
+/// What a request was decided on and how old that was, one sentence each.
+class StoryInputs
+{
+public:
+    StoryInputs(const RequestEnd &end, const Timeline &timeline);
+
+    auto sentences() const -> std::vector<std::string>;
+
+private:
+    auto age(std::chrono::milliseconds time) const -> std::string;
+    auto ownConfiguration() const -> std::string;
+    auto othersConfigurations() const -> std::string;
+    auto nextConfiguration() const -> std::string;
+    auto server(const std::string &id) const -> std::string;
+    auto model() const -> std::string;
+    auto duty() const -> std::string;
+
+    const RequestEnd &m_end;
+    const Timeline &m_timeline;
+};
+
+} // namespace Explain
--- /dev/null
+++ b/src/libs/explain/storyrows.cpp
@@ -0,0 +1,179 @@
+#include "storyrows.h"
+
+#include "loadhistory.h"
+
+#include <algorithm>
+
+namespace Explain {
+
+using std::chrono::milliseconds;
+using Utils::Event;
+
+namespace {
+
+constexpr size_t MostRows = 24;
+/// What happened so long before a request came, and after it ended, may belong to it.
+constexpr milliseconds Before(10000);
+constexpr milliseconds After(10000);
+
+auto textOf(const LogLine &line) -> std::string
+{
+    std::string text = line.gateway + "  " + eventName(line.event);
+    for (const char *name :
+         {"status", "outcome", "server", "reason", "granted", "answerBegun", "sends", "pauseMs"}) {
+        const auto field = line.fields.find(name);
+        if (field == line.fields.end())
+            continue;
+        const auto value = field->is_string() ? field->get<std::string>() : field->dump();
+        if (!value.empty())
+            text += std::string(" ") + name + ' ' + value;
+    }
+    return text;
+}
+
+auto textOf(const ContextEvent &event) -> std::string
+{
+    std::string text = std::string(event.gateway) + "  " + eventName(event.event);
+    if (!event.model.empty())
+        text += ' ' + std::string(event.model);
+    if (!event.adapter.empty())
+        text += '/' + std::string(event.adapter);
+    if (!event.server.empty())
+        text += " at " + std::string(event.server);
+    if (!event.text.empty())
+        text += " (" + std::string(event.text) + ')';
+    return text;
+}
+
+/// Gathers rows of several requests with one id, each once.
+class Collector
+{
+public:
+    explicit Collector(const Timeline &timeline)
+        : m_timeline(timeline)
+    { }
+
+    auto addLine(const LogLine &line) -> void
+    {
+        rows.push_back({line.time, textOf(line), true});
+        if (const auto server = line.text("server"); !server.empty())
+            m_servers.insert(server);
+    }
+
+    auto addAround(const RequestEnd &end) -> void
+    {
+        const auto from = end.arrivedAt - Before;
+        const auto to = end.endedAt + After;
+        for (const auto *events : {&m_timeline.duties(), &m_timeline.ofGateway(end.gateway)}) {
+            const auto range = Timeline::between(*events, from, to);
+            for (auto event = range.first; event != range.second; ++event)
+                add(*event);
+        }
+        const auto orders =
+            Timeline::between(m_timeline.orders(), end.arrivedAt - OrderLookBack, to);
+        for (auto order = orders.first; order != orders.second; ++order) {
+            if (concernsModel(*order, end))
+                add(*order);
+        }
+        addVersions(end, from, to);
+        for (const std::string &server : m_servers)
+            addServer(server, from, to);
+    }
+
+    std::vector<StoryRow> rows;
+
+private:
+    auto add(const ContextEvent &event) -> void
+    {
+        // The configurations come with `addVersions`.
+        if (event.event != Event::ConfigurationTaken)
+            rows.push_back({event.time, textOf(event)});
+    }
+
+    auto addVersions(const RequestEnd &end, milliseconds from, milliseconds to) -> void
+    {
+        const auto versions = m_timeline.configurations().find(end.gateway);
+        if (versions == m_timeline.configurations().end())
+            return;
+        for (const auto &[version, start] : versions->second) {
+            if (start.isTaken && start.at >= from && start.at <= to)
+                rows.push_back({start.at,
+                                end.gateway + "  " + eventName(Event::ConfigurationTaken) + ' '
+                                    + std::to_string(version) + " (routes "
+                                    + std::to_string(start.routes) + ')'});
+        }
+    }
+
+    /// Each gateway logs what it learns of a server: the first counts, the others are numbered.
+    auto addServer(const std::string &server, milliseconds from, milliseconds to) -> void
+    {
+        struct Learned
+        {
+            ContextEvent first;
+            size_t count = 0;
+        };
+        std::map<std::pair<Event, std::string_view>, Learned> learned;
+        const auto range = Timeline::between(m_timeline.ofServer(server), from, to);
+        for (auto event = range.first; event != range.second; ++event) {
+            auto &entry = learned[{event->event, event->text}];
+            if (entry.count++ == 0)
+                entry.first = *event;
+        }
+        for (const auto &[key, entry] : learned) {
+            std::string text = textOf(entry.first);
+            if (entry.count > 1)
+                text += ", then " + std::to_string(entry.count - 1) + " lines alike";
+            rows.push_back({entry.first.time, text});
+        }
+    }
+
+    const Timeline &m_timeline;
+    std::set<std::string> m_servers;
+};
+
+} // namespace
+
+auto eventName(Event event) -> std::string
+{
+    for (const auto &entry : Utils::eventCatalogue()) {
+        if (entry.event == event)
+            return std::string(entry.name);
+    }
+    return "event " + std::to_string(static_cast<int>(event));
+}
+
+auto StoryRows::of(const std::vector<LogLine> &lines, const std::vector<RequestEnd> &ends,
+                   const Timeline &timeline) -> StoryRows
+{
+    Collector collector(timeline);
+    for (const LogLine &line : lines)
+        collector.addLine(line);
+    for (const RequestEnd &end : ends)
+        collector.addAround(end);
+    StoryRows result;
+    auto &rows = result.rows;
+    rows = std::move(collector.rows);
+    const auto last = ends.empty() ? lines.back().time : ends.back().endedAt;
+    const auto distance = [last](const StoryRow &row) {
+        return row.isOfRequest ? milliseconds(-1) : std::chrono::abs(row.time - last);
+    };
+    std::stable_sort(rows.begin(), rows.end(), [&](const StoryRow &one, const StoryRow &other) {
+        return distance(one) < distance(other);
+    });
+    // Requests with one id may share what happened round them.
+    std::set<std::pair<milliseconds, std::string>> known;
+    const auto isKnown = [&known](const StoryRow &row) {
+        return !known.emplace(row.time, row.text).second;
+    };
+    rows.erase(std::remove_if(rows.begin(), rows.end(), isKnown), rows.end());
+    if (rows.size() > MostRows) {
+        result.leftOut = rows.size() - MostRows;
+        rows.resize(MostRows);
+    }
+    std::stable_sort(rows.begin(), rows.end(), [](const StoryRow &one, const StoryRow &other) {
+        return one.time < other.time;
+    });
+    return result;
+}
+
+} // namespace Explain
--- a/src/tools/acaciactl/commands.cpp
+++ b/src/tools/acaciactl/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "logcommands.h"
 #include "session.h"
 
 #include <app/daemon.h>
@@ -232,6 +233,8 @@
 
 auto runExplain(const CommandLine &line, const Words &arguments) -> int
 {
+    if (arguments.size() > 1)
+        return explainFromLogs(line, arguments);
     int code = Success;
     const auto session = openSession(line, code);
     if (!session)
@@ -362,7 +365,13 @@
         {"show", "", "print the rules in force, with the revision they are from", 0, runShow},
         {"history", "", "print who changed what", 0, runHistory},
         {"status", "", "print each instance and whether it acts", 0, runStatus},
-        {"explain", "REQUEST-ID", "say why a request was answered or refused", 1, runExplain},
+        {"explain", "REQUEST-ID [LOG...]",
+         "say why a request was answered or refused; from gateways' logs (- is standard input) or, "
+         "without, from what the entries know",
+         1, runExplain, true},
+        {"losses", "LOG...",
+         "count by cause the requests in gateways' logs that were not served, or served late", 1,
+         runLosses, true},
         {"key grant", "CUSTOMER KEYFILE|sha256:HASH", "let a key act for a customer", 2,
          runKeyGrant},
         {"key withdraw", "KEYFILE|sha256:HASH", "make a key stop working", 1, runKeyWithdraw},
--- a/src/tools/acaciactl/commands.h
+++ b/src/tools/acaciactl/commands.h
@@ -14,6 +14,7 @@
     size_t argumentCount = 0;
     auto(*run)(const App::CommandLine &line, const std::vector<std::string> &arguments)
         -> int = nullptr;
+    bool takesMore = false; ///< Any number of arguments from `argumentCount` on.
 };
 
 auto commands() -> const std::vector<Command> &;
--- a/src/tools/acaciactl/main.cpp
+++ b/src/tools/acaciactl/main.cpp
@@ -52,6 +52,8 @@
         App::parseCommandLine(argc, argv, usage(),
                               {{"settings", "FILE", "JSON file that says where the fleet is"},
                                {"as", "PERSON", "who asks for the change"},
+                               {"late", "MS", "with logs: a slower answer is late; 1000"},
+                               {"late-pause", "MS", "with logs: a longer pause is late; 1000"},
                                {"undo", "", "with drain: take the order back"},
                                {"json", "", "print JSON"}});
     if (!line) {
@@ -64,7 +66,8 @@
         return reportUnknown(line->words);
     const std::vector<std::string> arguments(
         line->words.begin() + static_cast<std::ptrdiff_t>(used), line->words.end());
-    if (arguments.size() != command->argumentCount) {
+    const bool isTooMany = !command->takesMore && arguments.size() > command->argumentCount;
+    if (arguments.size() < command->argumentCount || isTooMany) {
         std::cerr << "usage: acaciactl " << command->name << ' ' << command->arguments << '\n';
         return App::ExitCode::BadUsage;
     }
--- /dev/null
+++ b/tests/auto/explain/tst_story.cpp
@@ -0,0 +1,192 @@
+#include "recordedlogs.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace Explain;
+using testing::Contains;
+using testing::HasSubstr;
+using testing::Not;
+using Utils::Event;
+
+namespace {
+
+auto broken(std::int64_t at, const std::string &gateway = "a") -> std::string
+{
+    return eventLine(
+        gateway, at, Event::StreamEnded,
+        {{"request", "id"}, {"server", "i-1"}, {"reason", "broken_answer"}, {"answerBegun", true}});
+}
+
+auto backendFailed() -> std::string
+{
+    return endLine("a", 10300, "id", "backend_failed", 502, {{"sends", 1}, {"tookMs", 300}});
+}
+
+auto serverLine(const std::string &gateway, std::int64_t at, Event event, bool isLeaving = false)
+    -> std::string
+{
+    return eventLine(gateway, at, event, {{"server", "i-1"}, {"leaving", isLeaving}});
+}
+
+} // namespace
+
+TEST(Story, A404ByAConfigurationThatOthersHadReplacedTellsWhoHadWhat)
+{
+    // The logs stand one after the other, not in order of time.
+    const auto story =
+        storyOf("id",
+                {taken("a", 100, 17),
+                 endLine("a", 10010, "id", "unknown_route", 404, {{"configuration", 17}}),
+                 eventLine("a", 9000, Event::StoreAskedAnew,
+                           {{"othersRowVersion", 190}, {"rowVersion", 170}}),
+                 taken("a", 12000, 19, 1774), taken("b", 120, 17), taken("b", 6000, 19, 1774),
+                 taken("c", 110, 17), taken("c", 7000, 19, 1774), taken("d", 130, 17)});
+    EXPECT_EQ(story["endings"][0]["cause"], "older-configuration");
+    EXPECT_THAT(inputsOf(story),
+                testing::ElementsAre(
+                    "configuration 17 (49 routes), taken by a 9.900 s before it came",
+                    "other gateways then: 19 at 2 (1774 routes, first b 4.000 s before it came), "
+                    "17 at 1",
+                    "a took 19 2.000 s after it came"));
+    EXPECT_THAT(rowsOf(story), Contains(HasSubstr("store-asked-anew (othersRowVersion 190")));
+}
+
+TEST(Story, A404ThatEveryGatewayWouldGiveIsTheCallersCause)
+{
+    const Lines lines = {taken("a", 100, 17), taken("b", 100, 17), taken("b", 10001, 19),
+                         endLine("a", 10010, "id", "unknown_route", 404, {{"configuration", 17}})};
+    // b took the newer one only after the request had come.
+    EXPECT_EQ(causeOf("id", lines), "unknown-route");
+    EXPECT_THAT(inputsOf(storyOf("id", lines)), Contains("a took no newer one in these logs"));
+    EXPECT_EQ(causeOf("id", {endLine("a", 10, "id", "wrong_key", 401)}), "wrong-key");
+}
+
+TEST(Story, AGatewaysConfigurationIsKnownFromItsRequestsWhereItsLogBeginsLate)
+{
+    const auto story =
+        storyOf("id",
+                {endLine("b", 5000, "other", "answered", 200, {{"configuration", 19}}),
+                 endLine("a", 10010, "id", "unknown_route", 404, {{"configuration", 17}}),
+                 endLine("c", 20000, "later", "answered", 200, {{"configuration", 19}})});
+    EXPECT_EQ(story["endings"][0]["cause"], "older-configuration");
+    EXPECT_THAT(inputsOf(story), Contains("configuration 17, taken by a before its log begins"));
+    EXPECT_THAT(inputsOf(story), Contains(HasSubstr("19 at 1 (1 known by requests only)")));
+    EXPECT_THAT(inputsOf(story), Contains(HasSubstr("not known of 1")));
+}
+
+TEST(Story, ABrokenStreamIsFollowedToItsServersEnd)
+{
+    EXPECT_EQ(causeOf("id", {broken(10250), backendFailed()}), "answer-broken");
+    EXPECT_EQ(
+        causeOf("id", {broken(10250), backendFailed(), serverLine("b", 12000, Event::BackendGone)}),
+        "server-died");
+    // Listed anew without a word that it leaves: another incarnation.
+    EXPECT_EQ(
+        causeOf("id",
+                {broken(10250), backendFailed(), serverLine("b", 12000, Event::BackendChanged)}),
+        "server-died");
+    EXPECT_EQ(causeOf("id",
+                      {serverLine("b", 9000, Event::BackendLeaving, true), broken(10250),
+                       backendFailed(), serverLine("b", 12000, Event::BackendGone)}),
+              "server-left");
+    // It was back before.
+    EXPECT_EQ(
+        causeOf("id",
+                {serverLine("b", 2000, Event::BackendChanged, true),
+                 serverLine("b", 5000, Event::BackendChanged), broken(10250), backendFailed()}),
+        "answer-broken");
+    EXPECT_EQ(
+        causeOf("id", {broken(10250), backendFailed(), serverLine("b", 40000, Event::BackendGone)}),
+        "answer-broken");
+}
+
+TEST(Story, AGatewayThatStartsListsEveryServerWithoutAnyBeingNew)
+{
+    EXPECT_EQ(causeOf("id",
+                      {broken(10250), backendFailed(), eventLine("b", 11000, Event::ProcessStarted),
+                       serverLine("b", 12000, Event::BackendChanged)}),
+              "answer-broken");
+}
+
+TEST(Story, WhatManyGatewaysLearnOfAServerIsOneRow)
+{
+    const auto story = storyOf(
+        "id",
+        {broken(10250), backendFailed(), serverLine("b", 12000, Event::BackendGone),
+         serverLine("a", 12100, Event::BackendGone), serverLine("c", 12200, Event::BackendGone)});
+    EXPECT_THAT(rowsOf(story), Contains(HasSubstr("backend-gone")).Times(1));
+    EXPECT_THAT(rowsOf(story),
+                Contains("b  backend-gone at i-1 (leaving false), then 2 lines alike"));
+}
+
+TEST(Story, ADeniedRetryIsTheCauseOfItsRequestOnly)
+{
+    const auto denied = eventLine("a", 10290, Event::RequestRetried,
+                                  {{"request", "id"}, {"granted", false}, {"reason", "not_run"}});
+    EXPECT_EQ(causeOf("id", {broken(10250), denied, backendFailed()}), "retry-budget");
+    EXPECT_EQ(causeOf("id", {denied, endLine("a", 10300, "id", "no_backend_server", 503)}),
+              "retry-budget");
+    const auto losses = lossesOf({denied, endLine("a", 10300, "other", "no_backend_server", 503)});
+    EXPECT_EQ(losses["notServedByCause"]["no-server"]["count"], 1);
+}
+
+TEST(Story, LateAnswersAreToldApart)
+{
+    const auto late = [](const nlohmann::json &changed) {
+        nlohmann::json fields = {{"model", "m"},
+                                 {"server", "i-1"},
+                                 {"sends", 1},
+                                 {"firstEventMs", 2000},
+                                 {"tookMs", 3000}};
+        fields.update(changed);
+        return endLine("a", 13000, "id", "answered", 200, fields);
+    };
+    const auto unchanged = nlohmann::json::object();
+    EXPECT_EQ(causeOf("id", {late(unchanged)}), "late-answer");
+    EXPECT_EQ(causeOf("id", {late({{"sends", 2}})}), "late-repeat");
+    EXPECT_EQ(causeOf("id", {orderLine(11000, Event::LoadConfirmed, "m"), late(unchanged)}),
+              "late-load");
+    // The load that was confirmed after the first event is another one.
+    EXPECT_EQ(causeOf("id", {orderLine(12500, Event::LoadConfirmed, "m"), late(unchanged)}),
+              "late-answer");
+    EXPECT_EQ(causeOf("id", {late({{"firstEventMs", 20}, {"longestPauseMs", 1500}})}),
+              "late-pause");
+    EXPECT_EQ(causeOf("id", {late({{"firstEventMs", 1000}, {"longestPauseMs", 1000}})}), "");
+}
+
+TEST(Story, OneIdAtTwoGatewaysIsOneStory)
+{
+    const auto story = storyOf("id",
+                               {endLine("b", 12000, "id", "answered", 200),
+                                endLine("a", 11000, "id", "no_backend_server", 503)});
+    ASSERT_EQ(story["endings"].size(), 2U);
+    EXPECT_EQ(story["endings"][0]["gateway"], "a");
+    EXPECT_EQ(story["endings"][0]["cause"], "no-server");
+    EXPECT_EQ(story["endings"][1]["cause"], "");
+}
+
+TEST(Story, ARequestWithoutAnEndIsTold)
+{
+    const auto story = storyOf("id", {broken(10250)});
+    EXPECT_TRUE(story["endings"].empty());
+    EXPECT_THAT(story["notes"].get<Lines>(), Contains(HasSubstr("no end at a; its log ends")));
+}
+
+TEST(Story, ItFitsOnAScreen)
+{
+    Lines lines = {
+        endLine("a", 11000, "id", "load_failed", 503, {{"model", "m"}, {"tookMs", 1000}})};
+    for (int i = 0; i < 500; ++i)
+        lines.push_back(orderLine(10000 + i, Event::LoadOrdered, "m", "i-" + std::to_string(i)));
+    const RecordedLog log(lines);
+    const auto story = explainRequest(*LogFiles::open({log.path()}, nullptr), "id", {});
+    ASSERT_TRUE(story);
+    const std::string text = story->text();
+    constexpr auto screenLines = 50;
+    EXPECT_LT(std::count(text.begin(), text.end(), '\n'), screenLines);
+    EXPECT_THAT(text, HasSubstr("further lines round it"));
+    EXPECT_THAT(text, HasSubstr("request-refused status 503 outcome load_failed"));
+    EXPECT_THAT(text, HasSubstr("came 2023-11-14 22:13:30.000 UTC"));
+    EXPECT_THAT(text, Not(HasSubstr("skipped")));
+}
