--- a/src/libs/explain/logline.cpp
+++ b/src/libs/explain/logline.cpp
@@ -2,6 +2,8 @@
 
 #include <utils/jsonfield.h>
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cstring>
 
@@ -11,21 +13,27 @@
 
 namespace {
 
+/// Where the part begins; null if the text doesn't have it. `memmem` takes no null pointers.
+auto find(std::string_view text, std::string_view part) -> const char *
+{
+    return text.empty()
+        ? nullptr
+        : static_cast<const char *>(memmem(text.data(), text.size(), part.data(), part.size()));
+}
+
 /// What follows the key; empty if the key is not there.
 auto afterKey(std::string_view object, std::string_view key) -> std::string_view
 {
-    const void *found = memmem(object.data(), object.size(), key.data(), key.size());
-    if (!found)
-        return {};
-    const auto at = static_cast<size_t>(static_cast<const char *>(found) - object.data());
-    return object.substr(at + key.size());
+    const char *found = find(object, key);
+    return found ? object.substr(static_cast<size_t>(found - object.data()) + key.size())
+                 : std::string_view();
 }
 
 } // namespace
 
 auto LogLine::text(const char *name) const -> std::string
 {
-    return Utils::fieldOr(fields, name, "");
+    return printable(Utils::fieldOr(fields, name, ""));
 }
 
 auto LogLine::number(const char *name, std::int64_t fallback) const -> std::int64_t
@@ -35,7 +43,19 @@
 
 auto LogLine::request() const -> std::string
 {
-    return Utils::fieldOr(fields, "request", text("requestId"));
+    return Utils::fieldOr(fields, "request", Utils::fieldOr(fields, "requestId", ""));
+}
+
+auto printable(std::string text) -> std::string
+{
+    const auto isControl = [](unsigned char letter) { return std::iscntrl(letter) != 0; };
+    std::replace_if(text.begin(), text.end(), isControl, '?');
+    return text;
+}
+
+auto jsonText(const json &document) -> std::string
+{
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 auto objectOf(std::string_view line) -> std::string_view
@@ -84,7 +104,7 @@
 
 auto contains(std::string_view text, std::string_view part) -> bool
 {
-    return memmem(text.data(), text.size(), part.data(), part.size()) != nullptr;
+    return find(text, part) != nullptr;
 }
 
 } // namespace Explain
--- a/src/libs/explain/logline.h
+++ b/src/libs/explain/logline.h
@@ -18,12 +18,18 @@
     Utils::Event event = Utils::Event::AssertionFailed;
     nlohmann::json fields;
 
+    /// For people: without control characters.
     auto text(const char *name) const -> std::string;
     auto number(const char *name, std::int64_t fallback = -1) const -> std::int64_t;
-    /// The id of the request that the line is about; empty for other lines.
+    /// The id of the request that the line is about, as it is; empty for other lines.
     auto request() const -> std::string;
 };
 
+/// The text with a question mark for each control character: callers choose ids and models.
+auto printable(std::string text) -> std::string;
+/// One line of JSON; what is no UTF-8 is replaced.
+auto jsonText(const nlohmann::json &document) -> std::string;
+
 /// The JSON object of a line, without what stands before it; empty if there is none.
 auto objectOf(std::string_view line) -> std::string_view;
 
--- a/src/libs/explain/logsearch.cpp
+++ b/src/libs/explain/logsearch.cpp
@@ -36,8 +36,7 @@
 auto explainRequest(const LogFiles &logs, const std::string &id, const LateLimits &limits)
     -> Utils::Result<Story, LogError>
 {
-    const std::string quoted =
-        nlohmann::json(id).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string quoted = jsonText(id);
     Timeline timeline;
     std::vector<LogLine> lines;
     const auto read = readTimeline(logs, timeline, [&](std::string_view line) {
--- a/src/libs/explain/losses.cpp
+++ b/src/libs/explain/losses.cpp
@@ -105,7 +105,7 @@
     auto &losses = end.isServed ? m_lateByCause : m_notServedByCause;
     Loss &loss = losses[m_finder.find(end).cause];
     if (loss.count++ == 0)
-        loss.example = end.id;
+        loss.example = printable(end.id);
     ++loss.outcomes[end.outcome + ' ' + std::to_string(end.status)];
 }
 
--- a/src/libs/explain/storyrows.cpp
+++ b/src/libs/explain/storyrows.cpp
@@ -24,7 +24,7 @@
         const auto field = line.fields.find(name);
         if (field == line.fields.end())
             continue;
-        const auto value = field->is_string() ? field->get<std::string>() : field->dump();
+        const auto value = field->is_string() ? line.text(name) : jsonText(*field);
         if (!value.empty())
             text += std::string(" ") + name + ' ' + value;
     }
--- a/src/libs/explain/timeline.cpp
+++ b/src/libs/explain/timeline.cpp
@@ -24,7 +24,7 @@
         if (placedFields.count(name) > 0)
             continue;
         text += (text.empty() ? "" : ", ") + name + ' '
-            + (value.is_string() ? value.get<std::string>() : value.dump());
+            + (value.is_string() ? printable(value.get<std::string>()) : jsonText(value));
     }
     return text;
 }
--- a/src/tools/acaciactl/logcommands.cpp
+++ b/src/tools/acaciactl/logcommands.cpp
@@ -66,7 +66,7 @@
     const auto story = Explain::explainRequest(*logs, arguments[0], *limits);
     if (!story)
         return fail(story.error());
-    std::cout << (line.has("json") ? story->toJson().dump() + '\n' : story->text());
+    std::cout << (line.has("json") ? Explain::jsonText(story->toJson()) + '\n' : story->text());
     return Success;
 }
 
@@ -81,6 +81,6 @@
     const auto report = Explain::countLosses(*logs, *limits);
     if (!report)
         return fail(report.error());
-    std::cout << (line.has("json") ? report->json.dump() + '\n' : report->text);
+    std::cout << (line.has("json") ? Explain::jsonText(report->json) + '\n' : report->text);
     return Success;
 }
--- a/tests/auto/explain/tst_logs.cpp
+++ b/tests/auto/explain/tst_logs.cpp
@@ -50,6 +50,18 @@
     EXPECT_TRUE(isServedLine(served));
 }
 
+TEST(LogLine, BytesThatAreNoUtf8ArePrintedAsJsonAllTheSame)
+{
+    // The lines of served requests are not parsed.
+    auto line = endLine("gateway", 1000, "id-1", "answered", 200);
+    line.replace(line.find("gateway"), 1, "\xbb");
+    const auto story = storyOf(
+        "id-2", {line, endLine("b", 2000, "id-2", "unknown_route", 404, {{"configuration", 0}})});
+    EXPECT_NE(jsonText(story).find("first \xef\xbf\xbd"
+                                   "ateway"),
+              std::string::npos);
+}
+
 TEST(LogFiles, LinesComeInOrderAlsoWithoutALastLineEnd)
 {
     const RecordedLog one({"1", "", "2"});
--- a/tests/auto/explain/tst_losses.cpp
+++ b/tests/auto/explain/tst_losses.cpp
@@ -105,6 +105,12 @@
     EXPECT_EQ(losses["notServedByCause"].begin().key(), "no-server");
 }
 
+TEST(Losses, ACallersIdCannotForgeWhatIsPrinted)
+{
+    const auto losses = lossesOf({endLine("a", 10, "id\n9 requests\u001b[2J", "answered", 500)});
+    EXPECT_EQ(losses["notServedByCause"]["server-error"]["example"], "id?9 requests?[2J");
+}
+
 TEST(Losses, TheLimitsDecideWhatIsLate)
 {
     const RecordedLog log({endLine("a", 10, "id", "answered", 200, {{"tookMs", 50}})});
