--- a/src/libs/explain/timeline.cpp
+++ b/src/libs/explain/timeline.cpp
@@ -29,6 +29,9 @@
     return text;
 }
 
+/// By how much a request seems to come too early, as its times are rounded down.
+constexpr milliseconds RequestRounding(1);
+
 auto isEarlier(const ContextEvent &one, const ContextEvent &other) -> bool
 {
     return one.time < other.time;
@@ -79,11 +82,13 @@
 {
     if (version <= 0)
         return;
-    const auto [known, isNew] = m_configurations[gateway].try_emplace(version, start);
-    if (isNew || known->second.isTaken > start.isTaken)
-        return;
-    if (start.isTaken > known->second.isTaken || start.at < known->second.at)
-        known->second = start;
+    const auto [entry, isNew] = m_configurations[gateway].try_emplace(version, start);
+    // A gateway that starts again takes again what it had before.
+    const auto rank = [](const VersionStart &known) {
+        return std::pair(known.isTaken ? known.at - RequestRounding : known.at, !known.isTaken);
+    };
+    if (!isNew && rank(start) < rank(entry->second))
+        entry->second = start;
 }
 
 auto Timeline::takeContext(const LogLine &line) -> void
@@ -108,12 +113,10 @@
     case Event::BackendChanged:
         event.flag = Utils::fieldOr(line.fields, "leaving", false);
         break;
-    case Event::BackendLeaving:
-        event.flag = true;
-        break;
     case Event::BackendPaused:
         event.number = line.number("pauseMs");
         break;
+    case Event::BackendLeaving:
     case Event::LoadOrdered:
         event.flag = true;
         break;
--- a/tests/auto/explain/tst_loadstory.cpp
+++ b/tests/auto/explain/tst_loadstory.cpp
@@ -55,6 +55,15 @@
               "load-not-ordered");
 }
 
+TEST(LoadStory, LogsAreMergedByTime)
+{
+    const auto ordered = orderLine(9000, Event::LoadOrdered, "m");
+    const auto confirmed = orderLine(9500, Event::LoadConfirmed, "m");
+    EXPECT_EQ(causeOf("id", {loadFailed(), confirmed, ordered, dutyTaken}), "load-not-ordered");
+    const auto lost = eventLine("holder", 5000, Event::DutyLost, {{"fence", 7}});
+    EXPECT_EQ(causeOf("id", {lost, loadFailed(), dutyTaken}), "load-no-duty");
+}
+
 TEST(LoadStory, AnUnconfirmedLoadTellsWhenItWasOrderedAndConfirmed)
 {
     const auto story =
--- a/tests/auto/explain/tst_losses.cpp
+++ b/tests/auto/explain/tst_losses.cpp
@@ -103,6 +103,10 @@
     const auto losses = lossesOf({denied, endLine("a", 10, "id", "answered", 200),
                                   endLine("a", 20, "id", "no_backend_server", 503)});
     EXPECT_EQ(losses["notServedByCause"].begin().key(), "no-server");
+    const auto twice = lossesOf({denied, endLine("a", 10, "id", "no_backend_server", 503),
+                                 endLine("a", 20, "id", "no_backend_server", 503)});
+    EXPECT_EQ(twice["notServedByCause"]["retry-budget"]["count"], 1);
+    EXPECT_EQ(twice["notServedByCause"]["no-server"]["count"], 1);
 }
 
 TEST(Losses, ACallersIdCannotForgeWhatIsPrinted)
--- a/tests/auto/explain/tst_story.cpp
+++ b/tests/auto/explain/tst_story.cpp
@@ -75,6 +75,19 @@
     EXPECT_THAT(inputsOf(story), Contains(HasSubstr("not known of 1")));
 }
 
+TEST(Story, AConfigurationThatIsTakenAgainAfterARestartWasThereBefore)
+{
+    const auto refused = endLine("a", 10010, "id", "unknown_route", 404, {{"configuration", 17}});
+    const auto request = endLine("b", 5010, "other", "answered", 200, {{"configuration", 19}});
+    EXPECT_EQ(causeOf("id", {refused, request, taken("b", 12000, 19)}), "older-configuration");
+    EXPECT_EQ(causeOf("id", {refused, taken("b", 12000, 19), request}), "older-configuration");
+    // The request came in the same millisecond, and its time is rounded.
+    const auto story = storyOf("id", {refused, request, taken("b", 5001, 19)});
+    EXPECT_THAT(
+        inputsOf(story),
+        Contains("other gateways then: 19 at 1 (49 routes, first b 4.999 s before it came)"));
+}
+
 TEST(Story, ABrokenStreamIsFollowedToItsServersEnd)
 {
     EXPECT_EQ(causeOf("id", {broken(10250), backendFailed()}), "answer-broken");
