Loads from the weight store are judged by how many ran when they began

Loads that began as the third, fourth and fifth at once took 11.8, 15.7 and 19.7 s (7.8 s alone): the number at the begin decides. StoreLoadPacer asks for that number; EnginePlacement passed the number at the end, when the others were over, so that each late end halved the limit again.

Ruled out: the ceiling (15 a second there), slow engines (each tookMs is 7.9 s times half the number at the begin).

--- a/src/libs/gateway/enginedesk.cpp
+++ b/src/libs/gateway/enginedesk.cpp
@@ -81,7 +81,7 @@
 {
     // What a holder before this one ordered is not known; a swap from a copy would soon be over.
     const bool isUnknownOrder = m_isKnown && m_state.isBusy && !m_coming && m_leaving.empty();
-    return isUnknownOrder || (m_coming && m_coming->isFromStore);
+    return isUnknownOrder || (m_coming && m_coming->storeLoads > 0);
 }
 
 auto EngineDesk::adapterCount() const -> int
@@ -207,10 +207,10 @@
     }
 }
 
-auto EngineDesk::load(const std::string &model, std::chrono::milliseconds expected,
-                      bool isFromStore, TimePoint now) -> void
+auto EngineDesk::load(const std::string &model, std::chrono::milliseconds expected, int storeLoads,
+                      TimePoint now) -> void
 {
-    m_coming = PendingLoad{model, isFromStore, now + expected + ReportLag, expected, now};
+    m_coming = PendingLoad{model, storeLoads, now + expected + ReportLag, expected, now};
     EngineOrder order;
     order.kind = EngineOrder::Kind::Load;
     order.model = model;
@@ -424,8 +424,8 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(now - m_coming->startedAt);
         Utils::logEvent(Utils::Event::LoadConfirmed,
                         {{"server", m_id}, {"model", m_coming->model}, {"tookMs", took.count()}});
-        if (m_coming->isFromStore)
-            m_events.onStoreLoad(m_coming->nominal, took);
+        if (m_coming->storeLoads > 0)
+            m_events.onStoreLoad(m_coming->nominal, took, m_coming->storeLoads);
         m_coming.reset();
     } else if (m_coming && !m_state.isBusy && now > m_coming->dueAt + ReportRetry) {
         Utils::logEvent(Utils::Event::LoadFailed, {{"server", m_id}, {"model", m_coming->model}});
--- a/src/libs/gateway/enginedesk.h
+++ b/src/libs/gateway/enginedesk.h
@@ -35,8 +35,9 @@
     struct Events
     {
         std::function<void()> onChanged; ///< What the engine holds is known anew.
-        /// A load from the weight store has ended: its nominal time, and the time that it took.
-        std::function<void(std::chrono::milliseconds, std::chrono::milliseconds)> onStoreLoad;
+        /// A load from the weight store has ended: its nominal time, the time that it took, and how
+        /// many ran when it began, itself included.
+        std::function<void(std::chrono::milliseconds, std::chrono::milliseconds, int)> onStoreLoad;
         std::function<void(const EngineOrder &)> onOrderSent;
         /// The engine said what becomes of the order.
         std::function<void(const EngineOrder &)> onOrderAnswered;
@@ -56,7 +57,9 @@
         -> PlannedEngine;
     auto state() const -> const EngineReport & { return m_state; }
 
-    auto load(const std::string &model, std::chrono::milliseconds expected, bool isFromStore,
+    /// `storeLoads` is how many loads from the weight store run with this one, itself included; 0
+    /// if it comes from a copy.
+    auto load(const std::string &model, std::chrono::milliseconds expected, int storeLoads,
               Utils::TimePoint now) -> void;
     auto unload(const std::string &model, Utils::TimePoint now) -> void;
     /// Makes an adapter ready, in place of the one used least recently if there is no room.
@@ -80,7 +83,7 @@
     struct PendingLoad
     {
         std::string model;
-        bool isFromStore = false;
+        int storeLoads = 0; ///< From the weight store that ran when it began; 0 if from a copy.
         Utils::TimePoint dueAt;
         std::chrono::milliseconds nominal{0};
         Utils::TimePoint startedAt;
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -92,9 +92,10 @@
             if (*alive)
                 engineChanged(key, id);
         };
-        events.onStoreLoad = [this, alive = m_alive](milliseconds nominal, milliseconds took) {
+        events.onStoreLoad = [this, alive = m_alive](milliseconds nominal, milliseconds took,
+                                                     int atOnce) {
             if (*alive)
-                m_pacer.noteLoaded(nominal, took, runningStoreLoads());
+                m_pacer.noteLoaded(nominal, took, atOnce);
         };
         events.onOrderSent = [this, alive = m_alive, id = server->id,
                               startedAtMs = server->startedAtMs](const EngineOrder &order) {
@@ -200,7 +201,7 @@
     const milliseconds expected = order.isFromStore ? model.storeLoadTime
         : inMemory                                  ? model.memoryLoadTime
                                                     : model.diskLoadTime;
-    desk.load(order.model, expected, order.isFromStore, now());
+    desk.load(order.model, expected, order.isFromStore ? runningStoreLoads() + 1 : 0, now());
 }
 
 auto EnginePlacement::isAdapterComing(const ModelKey &key) const -> bool
--- a/tests/auto/platform/tst_enginedesk.cpp
+++ b/tests/auto/platform/tst_enginedesk.cpp
@@ -34,7 +34,7 @@
         board.update(*wire.parseBackend("i-1", store->value("servers", "i-1")), loop->now());
         EngineDesk::Events events;
         events.onChanged = [] {};
-        events.onStoreLoad = [](auto, auto) {};
+        events.onStoreLoad = [this](auto, auto, int atOnce) { storeLoadsAtOnce = atOnce; };
         events.onOrderSent = [this](const auto &) { ++sent; };
         events.onOrderAnswered = [](const auto &) {};
         events.authority = [this]() -> std::optional<Gateway::OrderAuthority> {
@@ -78,6 +78,7 @@
     std::unique_ptr<EngineDesk> desk;
     bool mayOrder = true;
     int sent = 0;
+    int storeLoadsAtOnce = 0; ///< As told when a load from the weight store ended.
 };
 
 } // namespace
@@ -116,7 +117,7 @@
 TEST_F(EngineDesks, ModelsAreNeitherLoadedNorDroppedWithoutPermission)
 {
     mayOrder = false;
-    desk->load("m2", 30ms, false, loop->now());
+    desk->load("m2", 30ms, 0, loop->now());
     pass(50ms);
     EXPECT_EQ(desk->state().models.count("m2"), 0U);
     desk->unload("m1", loop->now());
@@ -193,7 +194,7 @@
 TEST_F(EngineDesks, AdaptersAreNotOrderedWhileTheEngineLoadsAModel)
 {
     engine->behaviour.loadTime = 300ms;
-    desk->load("m2", 300ms, false, loop->now());
+    desk->load("m2", 300ms, 0, loop->now());
     want("a1");
     pass(200ms);
     EXPECT_EQ(sent, 1);
@@ -201,3 +202,13 @@
     EXPECT_EQ(engine->models().at("m1").count("a1"), 1U);
     EXPECT_EQ(sent, 2);
 }
+
+// Pattern: loads from the weight store begin beside others, which end before they do.
+TEST_F(EngineDesks, StoreLoadIsJudgedByHowManyRanWhenItBegan)
+{
+    engine->behaviour.loadTime = 100ms;
+    desk->load("m2", 100ms, 3, loop->now());
+    EXPECT_TRUE(desk->isLoadingFromStore());
+    pass(600ms);
+    EXPECT_EQ(storeLoadsAtOnce, 3);
+}
