One load at a time tries what the weight store carries

Once two loads had run at full speed, three were begun at once over and over; a load's length is known only when it ends, so that several took 11.8 s before the first of them showed that three are too many. Now one load is tried beyond what is known, no second one until it has ended, and the next trial after twelve loads at full speed. A trial whose engine left is tried again.

tst_copystock (new, virtual time, 8 seeds): 22 of 24 engines are replaced by empty ones under steady demand. It drives planner and pacer as EnginePlacement does.

--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -201,7 +201,10 @@
     const milliseconds expected = order.isFromStore ? model.storeLoadTime
         : inMemory                                  ? model.memoryLoadTime
                                                     : model.diskLoadTime;
-    desk.load(order.model, expected, order.isFromStore ? runningStoreLoads() + 1 : 0, now());
+    const int atOnce = order.isFromStore ? runningStoreLoads() + 1 : 0;
+    if (order.isFromStore)
+        m_pacer.noteBegun(atOnce);
+    desk.load(order.model, expected, atOnce, now());
 }
 
 auto EnginePlacement::isAdapterComing(const ModelKey &key) const -> bool
--- a/src/libs/gateway/storeloadpacer.h
+++ b/src/libs/gateway/storeloadpacer.h
@@ -5,17 +5,21 @@
 namespace Gateway {
 
 /// How many loads from the weight store are worth running at once. Beyond a number that nobody
-/// tells, all loads take longer in proportion; it is learnt from how long loads took.
+/// tells, each that begins takes longer in proportion; it is learnt from how long loads took. Now
+/// and then one load is tried beyond what is known to run at full speed.
 class StoreLoadPacer
 {
 public:
-    auto limit() const -> int { return m_limit; }
+    auto limit() const -> int { return m_proven + (m_untilTrial <= 0 ? 1 : 0); }
+    /// A load begins; `atOnce` run now, itself included.
+    auto noteBegun(int atOnce) -> void;
     /// A load ended that takes `nominal` when few run; `atOnce` ran when it began, itself included.
     auto noteLoaded(std::chrono::milliseconds nominal, std::chrono::milliseconds took, int atOnce)
         -> void;
 
 private:
-    int m_limit = 2; ///< Enough to learn from, and few enough that a first load is not delayed.
+    int m_proven = 2; ///< Enough to learn from, and few enough that a first load is not delayed.
+    int m_untilTrial = 1; ///< Loads at full speed before one more at once is tried.
 };
 
 } // namespace Gateway
--- /dev/null
+++ b/tests/auto/gateway/tst_copystock.cpp
@@ -0,0 +1,342 @@
+// Copies of weights as a stock: engines that leave take theirs along, and the weight store gives
+// few anew at a time.
+
+#include <gateway/storeloadpacer.h>
+#include <gateway/swapplanner.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+
+using namespace Gateway;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+using Utils::TimePoint;
+
+namespace {
+
+constexpr int EngineCount = 24;
+constexpr int ModelCount = 84;
+/// Of the models, those of which no engine has a copy at first.
+constexpr int ModelsWithoutCopy = 6;
+/// Of the models, those with most of the requests.
+constexpr int BusyModelCount = 6;
+constexpr double BusyModelRate = 8; ///< Requests a second.
+constexpr double RareModelRate = 0.1; ///< Requests a second.
+constexpr size_t CopiesOnDisk = 10;
+constexpr size_t CopiesInMemory = 2;
+constexpr double WeightsMb = 65000;
+/// Loads from the weight store that run at full speed at once; one that begins beside more takes
+/// longer in proportion.
+constexpr int StoreLoadsAtFullSpeed = 2;
+constexpr milliseconds Step = 50ms;
+constexpr milliseconds RunTime = 1500ms;
+constexpr milliseconds Patience = 6000ms;
+constexpr milliseconds UnloadTime = 100ms;
+constexpr double AveragedSeconds = 8; ///< Over which the rate of requests is told.
+
+auto modelName(int number) -> std::string
+{
+    return "m" + std::to_string(number);
+}
+
+/// Engines, a weight store and callers in virtual time. Callers wait for an engine with their model
+/// until their patience ends; an engine takes any number of requests.
+class Fleet
+{
+public:
+    struct Count
+    {
+        int asked = 0;
+        int served = 0;
+    };
+
+    explicit Fleet(unsigned seed)
+        : m_random(seed)
+    {
+        m_description.weightsMb = 200000;
+        m_description.diskMb = WeightsMb * static_cast<double>(CopiesOnDisk);
+        for (int i = 0; i < ModelCount; ++i) {
+            ModelDescription model;
+            model.name = modelName(i);
+            model.weightsMb = WeightsMb;
+            model.storeLoadTime = 7800ms;
+            model.diskLoadTime = 1000ms;
+            model.memoryLoadTime = 400ms;
+            m_description.models[model.name] = model;
+        }
+        std::vector<std::string> copies;
+        for (size_t i = 0; i < EngineCount * CopiesOnDisk; ++i)
+            copies.push_back(modelName(static_cast<int>(i) % (ModelCount - ModelsWithoutCopy)));
+        std::shuffle(copies.begin(), copies.end(), m_random);
+        for (size_t i = 0; i < copies.size(); ++i) {
+            if (i % CopiesOnDisk == 0)
+                addEngine();
+            std::deque<std::string> &onDisk = m_engines.back().onDisk;
+            if (std::count(onDisk.begin(), onDisk.end(), copies[i]) == 0)
+                onDisk.push_back(copies[i]);
+        }
+    }
+
+    auto run(milliseconds time) -> void
+    {
+        for (const TimePoint end = m_now + time; m_now < end; m_now += Step) {
+            if (hasCallers)
+                arrive();
+            proceed();
+            serve();
+            plan();
+        }
+    }
+
+    /// The engine that has been there the longest takes no more requests, as a new one stands in.
+    auto replaceOldest() -> void
+    {
+        m_engines.pop_front();
+        addEngine();
+    }
+
+    auto copiesOf(const std::string &model) const -> long
+    {
+        return std::count_if(m_engines.begin(), m_engines.end(), [&](const Engine &engine) {
+            return engine.held.count(model) > 0
+                || std::count(engine.onDisk.begin(), engine.onDisk.end(), model) > 0;
+        });
+    }
+
+    auto busyModelsWithoutCopy() const -> int
+    {
+        int count = 0;
+        for (int i = 0; i < BusyModelCount; ++i)
+            count += copiesOf(modelName(i)) == 0 ? 1 : 0;
+        return count;
+    }
+
+    bool hasCallers = false;
+    Count ofBusyModels;
+    Count ofRareModels;
+    int storeLoads = 0;
+    int mostStoreLoadsAtOnce = 0;
+
+private:
+    struct Engine
+    {
+        std::string id;
+        std::map<std::string, TimePoint> held; ///< Models, and since when.
+        std::deque<std::string> onDisk; ///< The one used last at the end.
+        std::string coming;
+        int storeLoads = 0; ///< That ran when the load began, itself included; 0 if from a copy.
+        TimePoint startedAt;
+        TimePoint readyAt;
+        std::string leaving;
+        TimePoint leftAt;
+        std::vector<std::pair<std::string, TimePoint>> runs; ///< Models, and until when.
+    };
+
+    struct Demand
+    {
+        std::deque<TimePoint> waiting; ///< Since when.
+        double perSecond = 0;
+    };
+
+    auto addEngine() -> void
+    {
+        Engine engine;
+        engine.id = "e" + std::to_string(m_nextEngine++);
+        m_engines.push_back(engine);
+    }
+
+    auto countOf(const std::string &model) -> Count &
+    {
+        return std::stoi(model.substr(1)) < BusyModelCount ? ofBusyModels : ofRareModels;
+    }
+
+    auto storeLoadsRunning() const -> int
+    {
+        return static_cast<int>(
+            std::count_if(m_engines.begin(), m_engines.end(), [](const Engine &engine) {
+                return !engine.coming.empty() && engine.storeLoads > 0;
+            }));
+    }
+
+    static auto copiesInMemory(const Engine &engine) -> std::set<std::string>
+    {
+        const size_t count = std::min(CopiesInMemory, engine.onDisk.size());
+        return {engine.onDisk.end() - static_cast<long>(count), engine.onDisk.end()};
+    }
+
+    auto arrive() -> void
+    {
+        const double seconds = Utils::toSeconds(Step);
+        for (int i = 0; i < ModelCount; ++i) {
+            Demand &demand = m_demand[modelName(i)];
+            std::poisson_distribution<int> arrivals(
+                (i < BusyModelCount ? BusyModelRate : RareModelRate) * seconds);
+            const int count = arrivals(m_random);
+            demand.waiting.insert(demand.waiting.end(), static_cast<size_t>(count), m_now);
+            demand.perSecond =
+                demand.perSecond * std::exp(-seconds / AveragedSeconds) + count / AveragedSeconds;
+            countOf(modelName(i)).asked += count;
+        }
+    }
+
+    /// Runs, loads and unloads that are over by now.
+    auto proceed() -> void
+    {
+        for (Engine &engine : m_engines) {
+            std::erase_if(engine.runs, [this](const auto &run) { return run.second <= m_now; });
+            const bool isLeavingUsed =
+                std::any_of(engine.runs.begin(), engine.runs.end(),
+                            [&](const auto &run) { return run.first == engine.leaving; });
+            if (m_now >= engine.leftAt && !isLeavingUsed)
+                engine.leaving.clear();
+            if (engine.coming.empty() || m_now < engine.readyAt)
+                continue;
+            if (engine.storeLoads > 0)
+                m_pacer.noteLoaded(
+                    m_description.models[engine.coming].storeLoadTime,
+                    std::chrono::duration_cast<milliseconds>(m_now - engine.startedAt),
+                    engine.storeLoads);
+            engine.held[engine.coming] = m_now;
+            std::erase(engine.onDisk, engine.coming);
+            engine.onDisk.push_back(engine.coming);
+            if (engine.onDisk.size() > CopiesOnDisk)
+                engine.onDisk.pop_front();
+            engine.coming.clear();
+        }
+    }
+
+    auto serve() -> void
+    {
+        for (auto &[model, demand] : m_demand) {
+            while (!demand.waiting.empty() && m_now - demand.waiting.front() > Patience)
+                demand.waiting.pop_front();
+            Engine *best = nullptr;
+            for (Engine &engine : m_engines) {
+                if (engine.held.count(model) > 0
+                    && (!best || engine.runs.size() < best->runs.size()))
+                    best = &engine;
+            }
+            if (!best)
+                continue;
+            countOf(model).served += static_cast<int>(demand.waiting.size());
+            for (; !demand.waiting.empty(); demand.waiting.pop_front())
+                best->runs.emplace_back(model, m_now + RunTime);
+        }
+    }
+
+    auto plan() -> void
+    {
+        SwapPlanner::Input input;
+        input.description = &m_description;
+        input.now = m_now;
+        for (const Engine &engine : m_engines) {
+            PlannedEngine planned;
+            planned.id = engine.id;
+            planned.readySince = engine.held;
+            for (const auto &[model, since] : engine.held)
+                planned.models.insert(model);
+            planned.coming = engine.coming;
+            if (!engine.coming.empty())
+                planned.models.insert(engine.coming);
+            planned.isBusy = !engine.coming.empty() || !engine.leaving.empty();
+            planned.copiesOnDisk.insert(engine.onDisk.begin(), engine.onDisk.end());
+            planned.copiesInMemory = copiesInMemory(engine);
+            input.engines.push_back(planned);
+            for (const auto &[model, until] : engine.runs)
+                ++input.demand[model].running;
+        }
+        for (const auto &[model, demand] : m_demand) {
+            if (demand.waiting.empty() && demand.perSecond < 0.005)
+                continue;
+            TotalDemand &total = input.demand[model];
+            total.waiting = static_cast<int>(demand.waiting.size());
+            total.perSecond = demand.perSecond;
+            if (!demand.waiting.empty())
+                total.longestWaitMs = Utils::toSeconds(m_now - demand.waiting.front()) * 1000;
+        }
+        input.storeLoadsAllowed = m_pacer.limit() - storeLoadsRunning();
+        for (const PlannedOrder &order : m_planner.plan(input))
+            carryOut(order);
+        mostStoreLoadsAtOnce = std::max(mostStoreLoadsAtOnce, storeLoadsRunning());
+    }
+
+    auto carryOut(const PlannedOrder &order) -> void
+    {
+        Engine &engine = *std::find_if(m_engines.begin(), m_engines.end(),
+                                       [&](const Engine &e) { return e.id == order.engine; });
+        if (order.kind == PlannedOrder::Kind::Unload) {
+            engine.held.erase(order.model);
+            engine.leaving = order.model;
+            engine.leftAt = m_now + UnloadTime;
+            return;
+        }
+        const ModelDescription &model = m_description.models.at(order.model);
+        engine.coming = order.model;
+        engine.startedAt = m_now;
+        engine.storeLoads = order.isFromStore ? storeLoadsRunning() + 1 : 0;
+        if (!order.isFromStore) {
+            const bool inMemory = copiesInMemory(engine).count(order.model) > 0;
+            engine.readyAt = m_now + (inMemory ? model.memoryLoadTime : model.diskLoadTime);
+            return;
+        }
+        m_pacer.noteBegun(engine.storeLoads);
+        engine.readyAt = m_now
+            + model.storeLoadTime * std::max(engine.storeLoads, StoreLoadsAtFullSpeed)
+                / StoreLoadsAtFullSpeed;
+        ++storeLoads;
+    }
+
+    EngineDescription m_description;
+    TimePoint m_now = TimePoint() + 1h;
+    std::deque<Engine> m_engines;
+    std::map<std::string, Demand> m_demand;
+    SwapPlanner m_planner;
+    StoreLoadPacer m_pacer;
+    int m_nextEngine = 0;
+    std::mt19937 m_random;
+};
+
+auto share(const Fleet::Count &count) -> double
+{
+    return static_cast<double>(count.served) / count.asked;
+}
+
+} // namespace
+
+// Pattern: nearly all engines are replaced one after another by new ones without copies of weights,
+// while the same is asked for all the time.
+TEST(CopyStock, IsKeptUpWhileEnginesAreReplaced)
+{
+    constexpr int seeds = 8;
+    double servedOfBusy = 0;
+    double servedOfRare = 0;
+    double storeLoads = 0;
+    int missing = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        Fleet fleet(seed);
+        fleet.run(10s);
+        fleet.hasCallers = true;
+        fleet.run(3s);
+        fleet.storeLoads = 0;
+        fleet.ofBusyModels = {};
+        fleet.ofRareModels = {};
+        for (int i = 0; i < EngineCount - 2; ++i) {
+            fleet.replaceOldest();
+            fleet.run(1300ms);
+        }
+        missing += fleet.busyModelsWithoutCopy();
+        fleet.run(10s);
+        servedOfBusy += share(fleet.ofBusyModels) / seeds;
+        servedOfRare += share(fleet.ofRareModels) / seeds;
+        storeLoads += static_cast<double>(fleet.storeLoads) / seeds;
+        EXPECT_LE(fleet.mostStoreLoadsAtOnce, StoreLoadsAtFullSpeed + 1);
+    }
+    EXPECT_GT(servedOfBusy, 0.9);
+    EXPECT_GT(servedOfRare, 0.58);
+    EXPECT_GT(storeLoads, 9.5) << "the store gives two in 7.8 s, and 38.6 s pass";
+    EXPECT_LT(missing, 24) << "busy models without a copy, of 48";
+}
--- a/tests/auto/gateway/tst_storeloadpacer.cpp
+++ b/tests/auto/gateway/tst_storeloadpacer.cpp
@@ -40,3 +40,33 @@
     pacer.noteLoaded(1000ms, 1000ms, 1);
     EXPECT_EQ(pacer.limit(), 2);
 }
+
+// Pattern: loads are in line for the weight store all the time.
+TEST(StoreLoadPacer, TriesOneLoadBeyondWhatRunsAtFullSpeed)
+{
+    StoreLoadPacer pacer;
+    pacer.noteBegun(1);
+    pacer.noteBegun(2);
+    pacer.noteLoaded(7800ms, 7800ms, 2);
+    ASSERT_EQ(pacer.limit(), 3);
+    pacer.noteBegun(3);
+    EXPECT_EQ(pacer.limit(), 2) << "until it is known how long that one takes";
+    pacer.noteLoaded(7800ms, 11700ms, 3);
+    for (int i = 0; i < 5; ++i) {
+        pacer.noteBegun(2);
+        pacer.noteLoaded(7800ms, 7800ms, 2);
+        EXPECT_EQ(pacer.limit(), 2);
+    }
+}
+
+// Pattern: the engine with the load that was tried has left; nobody tells how long it would have
+// taken.
+TEST(StoreLoadPacer, TriesAgainAfterALostTrial)
+{
+    StoreLoadPacer pacer;
+    pacer.noteLoaded(7800ms, 7800ms, 2);
+    pacer.noteBegun(3);
+    for (int i = 0; i < 20; ++i)
+        pacer.noteLoaded(7800ms, 7800ms, 2);
+    EXPECT_EQ(pacer.limit(), 3);
+}
