Copies of weights are kept up as a stock, beside urgent loads

Loads for later were left out while any request waited, and for every model that is asked for: a busy model whose copies left with their engines was loaded only once none was left. A copy at a busy engine held back a load from the store also where that engine holds the model already, would not take it, or loads from the store itself, however long.

SwapPlanner now has a target of copies a model (one for each engine that its rate takes, and one), counted at engines that stay, and fills it from the store at all times: first where rate x 0.5^copies is most, never with the last place, and beside urgent loads. Room on the disk is needed unless no engine has a copy. A copy at a busy engine is waited for if that engine would take the model, for two seconds. Models that are crowded come from the store as stock only.

--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -1,6 +1,7 @@
 #include "swapplanner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Gateway {
 
@@ -36,8 +37,18 @@
 /// running requests.
 constexpr std::chrono::milliseconds IntentLifetime(3000);
 const char *const PrefetchReason = "prefetch";
-/// What a copy for later is worth, in requests a second: it replaces only surplus or idle models.
-constexpr double PrefetchWorth = 0.02;
+/// What a copy for later is worth at least, in requests a second: it replaces only surplus or idle
+/// models.
+constexpr double LeastStockWorth = 0.02;
+/// How likely an engine with a copy is to leave before another copy could be loaded.
+constexpr double LeavingShare = 0.5;
+/// Copies of a model that is asked for, besides one for each engine that its rate takes: the model
+/// outlives the end of any one engine.
+constexpr int SpareCopies = 1;
+/// Loads from the weight store that those for later leave to models that are waited for.
+constexpr int UrgentStoreLoads = 1;
+/// Requests that have waited this long no longer wait for a copy at a busy engine.
+constexpr double LongestWaitForBusyMs = 2000;
 
 auto adapterRoom(const EngineDescription &description) -> double
 {
@@ -54,6 +65,12 @@
     return found == description.models.end() ? description.weightsMb : found->second.weightsMb;
 }
 
+auto isLoadingFromStore(const PlannedEngine &engine) -> bool
+{
+    return !engine.coming.empty() && engine.copiesInMemory.count(engine.coming) == 0
+        && engine.copiesOnDisk.count(engine.coming) == 0;
+}
+
 } // namespace
 
 auto SwapPlanner::lookUp(const Input &input) const -> Lookup
@@ -63,15 +80,19 @@
     for (const PlannedEngine &engine : input.engines) {
         if (!engine.coming.empty())
             lookup.coming.insert(engine.coming);
-        for (const std::string &model : engine.models) {
+        for (const std::string &model : engine.models)
             ++lookup.holders[model];
-            lookup.anywhere.insert(model);
-        }
-        for (const auto *copies : {&engine.copiesInMemory, &engine.copiesOnDisk}) {
-            lookup.anywhere.insert(copies->begin(), copies->end());
-            if (engine.isBusy)
-                lookup.copiedAtBusy.insert(copies->begin(), copies->end());
-        }
+        std::set<std::string> copied = engine.models;
+        copied.insert(engine.copiesInMemory.begin(), engine.copiesInMemory.end());
+        copied.insert(engine.copiesOnDisk.begin(), engine.copiesOnDisk.end());
+        for (const std::string &model : copied)
+            ++lookup.copies[model];
+        double &room = lookup.diskRoomMb[engine.id];
+        room = input.description->diskMb;
+        for (const std::string &model : engine.copiesOnDisk)
+            room -= weightsOf(*input.description, model);
+        if (!engine.isBusy)
+            lookup.mostDiskRoomMb = std::max(lookup.mostDiskRoomMb, room);
     }
     for (const PlannedEngine &engine : input.engines) {
         double &rate = lookup.rates[engine.id];
@@ -147,106 +168,213 @@
     return candidate;
 }
 
-auto SwapPlanner::plan(const Input &input) -> std::vector<PlannedOrder>
+auto SwapPlanner::demandWishes(const Input &input, const Lookup &lookup) const -> std::vector<Wish>
 {
-    struct Wish
-    {
-        const ModelDescription *model;
-        double worth;
-        std::string reason;
-        bool isUnserved = false;
-    };
-    const Lookup lookup = lookUp(input);
     std::vector<Wish> wishes;
-    for (const auto &[name, model] : input.description->models) {
+    for (const auto &[name, demand] : input.demand) {
+        const auto model = input.description->models.find(name);
+        if (model == input.description->models.end())
+            continue;
         const auto heldAt = lookup.holders.find(name);
         const int held = heldAt == lookup.holders.end() ? 0 : heldAt->second;
-        const auto found = input.demand.find(name);
-        const TotalDemand demand = found == input.demand.end() ? TotalDemand() : found->second;
-        if (held == 0 && (demand.waiting > 0))
-            wishes.push_back(
-                {&model, demand.perSecond + WaitingWeight * demand.waiting, "waiting", true});
-        else if (held > 0 && demand.waiting >= WaitingForAnotherEngine * held)
-            wishes.push_back({&model, WaitingWeight * demand.waiting / 2, "crowded"});
-        else if (held > 0 && demand.perSecond - RatePerEngine * held > LeastCrowding)
-            wishes.push_back(
-                {&model, CrowdingWeight * (demand.perSecond - RatePerEngine * held), "crowded"});
+        Wish wish;
+        wish.model = &model->second;
+        wish.longestWaitMs = demand.longestWaitMs;
+        wish.reason = "crowded";
+        if (held == 0 && demand.waiting > 0) {
+            wish.worth = demand.perSecond + WaitingWeight * demand.waiting;
+            wish.reason = "waiting";
+            wish.isUrgent = true;
+        } else if (held > 0 && demand.waiting >= WaitingForAnotherEngine * held) {
+            wish.worth = WaitingWeight * demand.waiting / 2;
+        } else if (held > 0 && demand.perSecond - RatePerEngine * held > LeastCrowding) {
+            wish.worth = CrowdingWeight * (demand.perSecond - RatePerEngine * held);
+        } else {
+            continue;
+        }
+        wishes.push_back(wish);
     }
     std::stable_sort(wishes.begin(), wishes.end(),
                      [](const Wish &a, const Wish &b) { return a.worth > b.worth; });
-    std::vector<Wish> prefetches;
+    return wishes;
+}
+
+/// Models with fewer copies than are to be kept, those first that would be missed most.
+auto SwapPlanner::stockWishes(const Input &input, const Lookup &lookup) const -> std::vector<Wish>
+{
+    std::vector<Wish> wishes;
     for (const auto &[name, model] : input.description->models) {
-        if (lookup.anywhere.count(name) == 0 && input.demand.count(name) == 0)
-            prefetches.push_back({&model, PrefetchWorth, PrefetchReason});
+        const auto asked = input.demand.find(name);
+        const auto found = lookup.copies.find(name);
+        const int copies = found == lookup.copies.end() ? 0 : found->second;
+        const double rate = asked == input.demand.end() ? 0 : asked->second.perSecond;
+        const int target = asked == input.demand.end()
+            ? 1
+            : static_cast<int>(std::ceil(rate / RatePerEngine)) + SpareCopies;
+        if (copies >= target)
+            continue;
+        Wish wish;
+        wish.model = &model;
+        wish.worth = std::max(rate * std::pow(LeavingShare, copies), LeastStockWorth);
+        wish.reason = PrefetchReason;
+        wishes.push_back(wish);
     }
-    wishes.insert(wishes.end(), prefetches.begin(), prefetches.end());
+    return wishes;
+}
+
+/// A copy at an engine that is busy for a moment is nearer than the weight store.
+auto SwapPlanner::isCopyNear(const Input &input, const Lookup &lookup, const Wish &wish) const
+    -> bool
+{
+    if (wish.longestWaitMs > LongestWaitForBusyMs)
+        return false;
+    const std::string &name = wish.model->name;
+    return std::any_of(input.engines.begin(), input.engines.end(), [&](const auto &engine) {
+        if (!engine.isBusy || isLoadingFromStore(engine) || engine.models.count(name) > 0)
+            return false;
+        const auto candidate = judge(input, lookup, engine, *wish.model, wish.worth);
+        return candidate && !candidate->isFromStore;
+    });
+}
 
-    std::vector<PlannedOrder> orders;
-    std::set<std::string> used;
-    int storeLoads = input.storeLoadsAllowed;
+auto SwapPlanner::order(const Input &input, const Wish &wish, const Candidate &candidate,
+                        Round &round) -> void
+{
+    const std::string &engine = candidate.engine->id;
+    round.used.insert(engine);
+    if (!candidate.victims.empty()) {
+        m_intents[engine] = {wish.model->name, input.now + IntentLifetime};
+        round.orders.push_back({PlannedOrder::Kind::Unload, engine, candidate.victims.front(),
+                                false, wish.reason + ":" + wish.model->name});
+        return;
+    }
+    m_intents.erase(engine);
+    if (candidate.isFromStore && !wish.isUrgent)
+        m_stockLoads[engine] = wish.model->name;
+    round.orders.push_back(
+        {PlannedOrder::Kind::Load, engine, wish.model->name, candidate.isFromStore, wish.reason});
+}
+
+/// False if the weight store would have to give the model.
+auto SwapPlanner::loadFromCopy(const Input &input, const Lookup &lookup, const Wish &wish,
+                               Round &round) -> bool
+{
+    if (round.beingMadeRoomFor.count(wish.model->name) > 0)
+        return true;
+    std::optional<Candidate> best;
+    for (const PlannedEngine &engine : input.engines) {
+        if (engine.isBusy || round.used.count(engine.id) > 0
+            || engine.models.count(wish.model->name) > 0)
+            continue;
+        auto candidate = judge(input, lookup, engine, *wish.model, wish.worth);
+        if (!candidate || candidate->isFromStore)
+            continue;
+        const auto intent = m_intents.find(engine.id);
+        if (intent != m_intents.end() && intent->second.model == wish.model->name)
+            candidate->seconds -= 0.5;
+        candidate->seconds += candidate->loss + RateWeight * lookup.rates.at(engine.id);
+        if (!best || candidate->seconds < best->seconds)
+            best = candidate;
+    }
+    if (best) {
+        order(input, wish, *best, round);
+        return true;
+    }
+    const bool isNear = isCopyNear(input, lookup, wish);
+    if (isNear && wish.isUrgent)
+        ++round.nearCopies;
+    return isNear;
+}
+
+auto SwapPlanner::loadFromStore(const Input &input, const Lookup &lookup, const Wish &wish,
+                                Round &round) -> void
+{
+    // Loads from the store slow each other down: a second copy comes after the first.
+    if (lookup.coming.count(wish.model->name) > 0
+        || (wish.isUrgent ? round.storeLoads : std::min(round.storeLoads, round.stockLoads)) <= 0)
+        return;
+    // On a full disk the copy takes the place of another one.
+    const bool needsDiskRoom = input.description->diskMb > 0 && !wish.isUrgent
+        && lookup.copies.count(wish.model->name) > 0;
+    if (needsDiskRoom && lookup.mostDiskRoomMb < wish.model->weightsMb)
+        return;
+    std::optional<Candidate> best;
+    int able = 0;
+    for (const PlannedEngine &engine : input.engines) {
+        if (engine.isBusy || round.used.count(engine.id) > 0)
+            continue;
+        auto candidate = judge(input, lookup, engine, *wish.model, wish.worth);
+        if (!candidate)
+            continue;
+        ++able;
+        if (!candidate->isFromStore || engine.models.count(wish.model->name) > 0)
+            continue;
+        if (needsDiskRoom && lookup.diskRoomMb.at(engine.id) < wish.model->weightsMb)
+            continue;
+        const auto intent = m_intents.find(engine.id);
+        if (intent != m_intents.end() && intent->second.model == wish.model->name)
+            candidate->seconds -= 0.5;
+        candidate->seconds += candidate->loss + RateWeight * lookup.rates.at(engine.id);
+        if (!best || candidate->seconds < best->seconds)
+            best = candidate;
+    }
+    // Requests whose copy stays busy too long take another engine; one is left to each.
+    if (!best || (!wish.isUrgent && able <= std::min(round.nearCopies, round.storeLoads)))
+        return;
+    order(input, wish, *best, round);
+    --round.storeLoads;
+    if (!wish.isUrgent)
+        --round.stockLoads;
+}
+
+auto SwapPlanner::beginRound(const Input &input) -> Round
+{
+    Round round;
+    round.storeLoads = input.storeLoadsAllowed;
     std::erase_if(m_intents, [&](const auto &item) { return item.second.until <= input.now; });
-    std::set<std::string> beingMadeRoomFor;
+    int running = 0;
+    std::map<std::string, std::string> stockLoads;
     for (const PlannedEngine &engine : input.engines) {
         const auto intent = m_intents.find(engine.id);
         if (intent != m_intents.end() && engine.isBusy)
-            beingMadeRoomFor.insert(intent->second.model);
+            round.beingMadeRoomFor.insert(intent->second.model);
+        running += isLoadingFromStore(engine);
+        const auto stocked = m_stockLoads.find(engine.id);
+        if (stocked != m_stockLoads.end() && stocked->second == engine.coming)
+            stockLoads.insert(*stocked);
     }
-    bool isUnservedLeft = false;
+    m_stockLoads = std::move(stockLoads);
+    round.stockLoads = input.storeLoadsAllowed;
+    if (!input.demand.empty())
+        round.stockLoads += running - static_cast<int>(m_stockLoads.size()) - UrgentStoreLoads;
+    return round;
+}
+
+auto SwapPlanner::plan(const Input &input) -> std::vector<PlannedOrder>
+{
+    const Lookup lookup = lookUp(input);
+    Round round = beginRound(input);
     const auto idle = std::count_if(input.engines.begin(), input.engines.end(),
                                     [](const auto &engine) { return !engine.isBusy; });
-    for (const Wish &wish : wishes) {
-        if (static_cast<long>(used.size()) >= idle)
+    std::vector<Wish> fromStore;
+    for (const Wish &wish : demandWishes(input, lookup)) {
+        if (static_cast<long>(round.used.size()) >= idle)
+            return round.orders;
+        if (!loadFromCopy(input, lookup, wish, round) && wish.isUrgent)
+            fromStore.push_back(wish);
+    }
+    if (round.storeLoads <= 0)
+        return round.orders;
+    for (Wish &wish : stockWishes(input, lookup))
+        fromStore.push_back(std::move(wish));
+    std::stable_sort(fromStore.begin(), fromStore.end(),
+                     [](const Wish &a, const Wish &b) { return a.worth > b.worth; });
+    for (const Wish &wish : fromStore) {
+        if (round.storeLoads <= 0 || static_cast<long>(round.used.size()) >= idle)
             break;
-        // Engines are kept free of loads for later while requests wait for others.
-        if (beingMadeRoomFor.count(wish.model->name) > 0
-            || (wish.reason == PrefetchReason && isUnservedLeft))
-            continue;
-        // One load from the store stays free for models that will be waited for.
-        const int keptStoreLoads = wish.reason == PrefetchReason && !input.demand.empty() ? 1 : 0;
-        std::optional<Candidate> best;
-        for (const PlannedEngine &engine : input.engines) {
-            if (engine.isBusy || used.count(engine.id) > 0 || engine.models.count(wish.model->name))
-                continue;
-            auto candidate = judge(input, lookup, engine, *wish.model, wish.worth);
-            if (!candidate || (candidate->isFromStore && storeLoads <= keptStoreLoads))
-                continue;
-            // Loads from the store slow each other down: a second copy comes after the first.
-            if (candidate->isFromStore && lookup.coming.count(wish.model->name) > 0)
-                continue;
-            const auto intent = m_intents.find(engine.id);
-            if (intent != m_intents.end() && intent->second.model == wish.model->name)
-                candidate->seconds -= 0.5;
-            candidate->seconds += candidate->loss + RateWeight * lookup.rates.at(engine.id);
-            if (!best || candidate->seconds < best->seconds)
-                best = candidate;
-        }
-        if (!best) {
-            isUnservedLeft = isUnservedLeft || wish.isUnserved;
-            continue;
-        }
-        // A copy at an engine that is busy for a moment is nearer than the weight store.
-        const bool copyIsNear =
-            best->isFromStore && lookup.copiedAtBusy.count(wish.model->name) > 0;
-        if (copyIsNear) {
-            isUnservedLeft = isUnservedLeft || wish.isUnserved;
-            continue;
-        }
-        used.insert(best->engine->id);
-        if (!best->victims.empty()) {
-            m_intents[best->engine->id] = {wish.model->name, input.now + IntentLifetime};
-            orders.push_back({PlannedOrder::Kind::Unload, best->engine->id, best->victims.front(),
-                              false, wish.reason + ":" + wish.model->name});
-            if (best->isFromStore)
-                --storeLoads;
-            continue;
-        }
-        m_intents.erase(best->engine->id);
-        if (best->isFromStore)
-            --storeLoads;
-        orders.push_back({PlannedOrder::Kind::Load, best->engine->id, wish.model->name,
-                          best->isFromStore, wish.reason});
+        loadFromStore(input, lookup, wish, round);
     }
-    return orders;
+    return round.orders;
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -47,8 +47,9 @@
 };
 
 /// Decides which models are swapped on which engines: waiting requests first, from the nearest
-/// copy, in place of what is asked for least; then copies of models that no engine has yet, so that
-/// later swaps come from an engine's own disk. Needs no network.
+/// copy, in place of what is asked for least; then the stock of copies, which shrinks as engines
+/// leave and is filled within what the weight store carries, so that later swaps come from an
+/// engine's own disk. Needs no network.
 class SwapPlanner
 {
 public:
@@ -74,6 +75,27 @@
         double loss = 0;
     };
 
+    /// A model that is to be loaded at one more engine.
+    struct Wish
+    {
+        const ModelDescription *model = nullptr;
+        double worth = 0;
+        std::string reason;
+        bool isUrgent = false; ///< Requests wait, and no engine has the model.
+        double longestWaitMs = 0;
+    };
+
+    /// What one plan has decided so far.
+    struct Round
+    {
+        std::vector<PlannedOrder> orders;
+        std::set<std::string> used; ///< Engines with an order.
+        std::set<std::string> beingMadeRoomFor; ///< Models that an engine is unloading others for.
+        int storeLoads = 0; ///< That may still begin.
+        int stockLoads = 0; ///< Part of them that may be for the stock.
+        int nearCopies = 0; ///< Wishes that wait for a copy at a busy engine.
+    };
+
     /// What is looked up over and over within one plan.
     struct Lookup
     {
@@ -81,14 +103,25 @@
         std::map<std::string, std::vector<std::pair<double, std::string>>> victims; ///< By engine.
         std::map<std::string, double> rates; ///< Requests a second at each engine.
         double adapterRoomMb = 0;
-        std::set<std::string> anywhere; ///< Models held or copied at any engine.
+        std::map<std::string, int> copies; ///< Engines with a model's weights, or soon.
+        std::map<std::string, double> diskRoomMb; ///< Free for copies, by engine.
+        double mostDiskRoomMb = 0; ///< Of an engine that takes orders.
         std::set<std::string> coming; ///< Models that are being loaded somewhere.
-        std::set<std::string> copiedAtBusy; ///< Models with a copy at an engine that is busy.
     };
 
     auto judge(const Input &input, const Lookup &lookup, const PlannedEngine &engine,
                const ModelDescription &model, double worth) const -> std::optional<Candidate>;
     auto lookUp(const Input &input) const -> Lookup;
+    auto demandWishes(const Input &input, const Lookup &lookup) const -> std::vector<Wish>;
+    auto stockWishes(const Input &input, const Lookup &lookup) const -> std::vector<Wish>;
+    auto isCopyNear(const Input &input, const Lookup &lookup, const Wish &wish) const -> bool;
+    auto beginRound(const Input &input) -> Round;
+    auto loadFromCopy(const Input &input, const Lookup &lookup, const Wish &wish, Round &round)
+        -> bool;
+    auto loadFromStore(const Input &input, const Lookup &lookup, const Wish &wish, Round &round)
+        -> void;
+    auto order(const Input &input, const Wish &wish, const Candidate &candidate, Round &round)
+        -> void;
     auto value(const Input &input, const PlannedEngine &engine, const std::string &model,
                int holders) const -> double;
 
@@ -100,6 +133,7 @@
     };
 
     std::map<std::string, Intent> m_intents; ///< By engine.
+    std::map<std::string, std::string> m_stockLoads; ///< Models by the engine that loads them.
 };
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_swapplanner.cpp
+++ b/tests/auto/gateway/tst_swapplanner.cpp
@@ -270,3 +270,113 @@
     input.storeLoadsAllowed = 2;
     EXPECT_EQ(planner.plan(input).size(), 1U);
 }
+
+// Pattern: engines with copies of a busy model leave one after another, and new ones are empty.
+TEST_F(SwapPlans, BusyModelWithFewCopiesIsStockedFirst)
+{
+    addEngine("e1", {"m0"}).copiesOnDisk = {"m0", "m1", "m2", "m3"};
+    addEngine("e2", {"m1", "m2", "m3"}).copiesOnDisk = {"m1", "m2", "m3", "m4"};
+    addEngine("e3", {});
+    input.demand["m0"] = {0, 6, 3, 0};
+    input.demand["m1"] = {0, 6, 3, 0};
+    input.demand["m2"] = {0, 1, 0.1, 0};
+    input.storeLoadsAllowed = 2;
+    const auto orders = planner.plan(input);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].model, "m0");
+    EXPECT_EQ(orders[0].engine, "e3");
+    EXPECT_TRUE(orders[0].isFromStore);
+}
+
+// Pattern: more engines stand empty than requests wait.
+TEST_F(SwapPlans, EmptyEnginesAreStockedWhileRequestsWait)
+{
+    addEngine("e1", {"m0"}).isBusy = true;
+    input.engines[0].copiesOnDisk = {"m5"};
+    for (const char *id : {"e2", "e3", "e4"})
+        addEngine(id, {});
+    input.demand["m0"] = {0, 2, 2, 0};
+    input.demand["m5"] = {1, 0, 0.1, 10};
+    input.storeLoadsAllowed = 2;
+    const auto orders = planner.plan(input);
+    EXPECT_TRUE(find(orders, Kind::Load, "m0"));
+    EXPECT_FALSE(find(orders, Kind::Load, "m5")) << "its copy is near";
+}
+
+TEST_F(SwapPlans, UrgentLoadsGoWithStockLoads)
+{
+    for (const char *id : {"e1", "e2", "e3"})
+        addEngine(id, {});
+    input.demand["m5"] = {1, 0, 0.1, 10};
+    input.storeLoadsAllowed = 2;
+    const auto orders = planner.plan(input);
+    ASSERT_EQ(orders.size(), 2U);
+    EXPECT_EQ(std::count_if(orders.begin(), orders.end(),
+                            [](const auto &order) { return order.reason == "waiting"; }),
+              1);
+    // The urgent one runs on: the next is for the stock, though another model is waited for less.
+    for (const auto &order : orders) {
+        if (order.reason != "waiting")
+            continue;
+        for (PlannedEngine &engine : input.engines) {
+            if (engine.id != order.engine)
+                continue;
+            engine.coming = order.model;
+            engine.models = {order.model};
+            engine.isBusy = true;
+        }
+    }
+    input.demand["m0"] = {0, 6, 6, 0};
+    input.storeLoadsAllowed = 1;
+    const auto next = planner.plan(input);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].reason, "prefetch");
+}
+
+// Pattern: an engine with a copy of the model is busy for long, and so are its other engines.
+TEST_F(SwapPlans, WaitsForACopyAtABusyEngineForAWhileOnly)
+{
+    auto &engine = addEngine("e1", {"m0"});
+    engine.isBusy = true;
+    engine.copiesOnDisk = {"m5"};
+    addEngine("e2", {"m1"});
+    input.demand["m5"] = {1, 0, 0.1, 1900};
+    EXPECT_FALSE(find(planner.plan(input), Kind::Load, "m5"));
+    input.demand["m5"].longestWaitMs = 2100;
+    EXPECT_TRUE(find(planner.plan(input), Kind::Load, "m5"));
+}
+
+TEST_F(SwapPlans, CopyAtAnEngineThatLoadsFromTheStoreIsNotNear)
+{
+    auto &engine = addEngine("e1", {"m0", "m3"});
+    engine.isBusy = true;
+    engine.coming = "m3";
+    engine.copiesOnDisk = {"m0", "m5"};
+    addEngine("e2", {"m1"});
+    input.demand["m5"] = {1, 0, 0.1, 10};
+    EXPECT_TRUE(find(planner.plan(input), Kind::Load, "m5"));
+}
+
+RC_GTEST_FIXTURE_PROP(SwapPlans, NeverBeginsMoreStoreLoadsThanAllowed,
+                      (const std::vector<std::uint16_t> &choices, std::uint8_t allowed))
+{
+    input.engines.clear();
+    input.demand.clear();
+    for (int i = 0; i < 5; ++i)
+        addEngine("e" + std::to_string(i), {});
+    for (const std::uint16_t choice : choices) {
+        PlannedEngine &engine = input.engines[choice % 5];
+        const std::string model = "m" + std::to_string(choice / 5 % 12);
+        if (choice / 60 % 3 == 0 && engine.models.size() < 3)
+            engine.models.insert(model);
+        else if (choice / 60 % 3 == 1)
+            engine.copiesOnDisk.insert(model);
+        else
+            input.demand[model] = {choice / 180 % 5, choice / 900 % 3, choice / 2700 / 3.0, 0};
+    }
+    input.storeLoadsAllowed = allowed % 5 - 1;
+    const auto orders = planner.plan(input);
+    const auto fromStore = std::count_if(orders.begin(), orders.end(),
+                                         [](const auto &order) { return order.isFromStore; });
+    RC_ASSERT(fromStore <= std::max(0, input.storeLoadsAllowed));
+}
