--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -21,7 +21,7 @@
     result.message.bodyBytes = limits.bodyBytes;
     result.headTimeout = limits.headTimeout;
     result.idleTimeout = limits.idleTimeout;
-    result.areFinal = context.configuration && context.denialCheck.mayDeny();
+    result.sizesAreConfirmed = context.configuration && context.denialCheck.mayDeny();
     return result;
 }
 
--- a/src/libs/gateway/denialcheck.cpp
+++ b/src/libs/gateway/denialcheck.cpp
@@ -24,14 +24,14 @@
         m_scheduler.cancel(*m_askTimer);
 }
 
-auto DenialCheck::noteAnswer(TimePoint provedAt, std::uint64_t ownRow) -> void
+auto DenialCheck::noteAnswer(TimePoint confirmedAt, std::uint64_t ownRow) -> void
 {
     noticeSuspension();
-    if (provedAt < m_resumedAt)
+    if (confirmedAt < m_resumedAt)
         return;
-    m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
+    m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
     // The store's word counts more than another gateway's.
-    if (ownRow >= m_rowElsewhere || (m_doubtedAt && provedAt >= *m_doubtedAt))
+    if (ownRow >= m_rowElsewhere || (m_doubtedAt && confirmedAt >= *m_doubtedAt))
         m_doubtedAt.reset();
     m_pause = Constants::FirstConfirmationPause;
     wakeAll();
@@ -58,7 +58,7 @@
         return;
     m_suspended = suspended;
     m_resumedAt = m_scheduler.now();
-    m_provedAt.reset();
+    m_confirmedAt.reset();
 }
 
 auto DenialCheck::mayDeny() -> bool
@@ -70,9 +70,9 @@
 auto DenialCheck::age() -> std::optional<Duration>
 {
     noticeSuspension();
-    if (!m_provedAt)
+    if (!m_confirmedAt)
         return {};
-    return m_scheduler.now() - *m_provedAt;
+    return m_scheduler.now() - *m_confirmedAt;
 }
 
 auto DenialCheck::wait(std::function<void()> onNews) -> std::optional<Ticket>
--- a/src/libs/gateway/denialcheck.h
+++ b/src/libs/gateway/denialcheck.h
@@ -28,8 +28,8 @@
     ~DenialCheck();
 
     /// The store has answered a question; this gateway knew `ownRow` or newer when it was at
-    /// `provedAt`.
-    auto noteAnswer(Utils::TimePoint provedAt, std::uint64_t ownRow) -> void;
+    /// `confirmedAt`.
+    auto noteAnswer(Utils::TimePoint confirmedAt, std::uint64_t ownRow) -> void;
     /// Another gateway knows `row`, while this one knows `ownRow`.
     auto noteElsewhere(std::uint64_t row, std::uint64_t ownRow) -> void;
     /// The newest row could not be read; until the next one nothing may be denied.
@@ -53,7 +53,7 @@
     Utils::Duration m_lifetime;
     Events m_events;
     Utils::Duration m_pause; ///< After the next question.
-    std::optional<Utils::TimePoint> m_provedAt;
+    std::optional<Utils::TimePoint> m_confirmedAt;
     Utils::Duration m_suspended;
     Utils::TimePoint m_resumedAt; ///< What was asked before proves nothing.
     std::uint64_t m_rowElsewhere = 0;
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -26,7 +26,7 @@
 
 /// Part of the time in which a configuration must be in force everywhere for which a confirmation
 /// by the store lets requests be denied for good; the rest is left for the request's way here.
-constexpr double DenialProofShare = 0.5;
+constexpr double ConfirmationShare = 0.5;
 /// First and longest pause between two questions to the store for such a confirmation. Each is paid
 /// for, and shares the link with the answers to those before.
 constexpr std::chrono::milliseconds FirstConfirmationPause(600);
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -69,7 +69,7 @@
         , waiting(r)
         , denialCheck(r,
                       std::chrono::duration_cast<milliseconds>(s.configurationApplyTime
-                                                               * Constants::DenialProofShare),
+                                                               * Constants::ConfirmationShare),
                       {[this] { configurationFollower->confirm(); },
                        [this] { return Utils::bootTime() - reactor.now(); }})
         , context{r,           w,       board,   pool, quota,   waiting, demand,
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -119,7 +119,8 @@
     return true;
 }
 
-/// Refuses for good what the configuration does not allow, once the store has confirmed it.
+/// Refuses for good what the configuration does not allow, if the store has confirmed it recently;
+/// else lets the request wait for that, and refuses it as not run if there is no room to wait.
 auto RequestFlow::deny(RefusalReason reason) -> void
 {
     if (m_context.denialCheck.mayDeny())
--- a/src/libs/http1/serverconnection.cpp
+++ b/src/libs/http1/serverconnection.cpp
@@ -109,7 +109,7 @@
             }
             pending.erase(0, reader->feed(pending));
             if (reader->error() != ReadError::None) {
-                refuse(isOverSize(reader->error()) && !events.limits().areFinal
+                refuse(isOverSize(reader->error()) && !events.limits().sizesAreConfirmed
                            ? StatusUnavailable
                            : statusOf(reader->error()));
                 break;
--- a/src/libs/http1/serverconnection.h
+++ b/src/libs/http1/serverconnection.h
@@ -24,7 +24,8 @@
     MessageLimits message;
     Utils::Duration headTimeout = std::chrono::seconds(10);
     Utils::Duration idleTimeout = std::chrono::seconds(60);
-    bool areFinal = true; ///< False if a request over the sizes may be taken a little later.
+    bool sizesAreConfirmed =
+        true; ///< False if a request over the sizes may be taken a little later.
 };
 
 /// A client's connection that answers one request after the other.
