Logs show the limits that backend servers name, and what was sent under them

Change: the limit is decoded; each gateway keeps the newest one it observed (RateLimitTable) and logs its start, change and end (215), values that are no number (216), and each send to such a server with the age of the limit, the number of the send and the time that the request had waited (304). No decision uses it yet; the emulated engine can name a limit. Tests: RateLimitTable (6), Codecs.RateLimitIsDecoded.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -17,6 +17,7 @@
     std::string backendId;
     std::int64_t startedAtMs = 0; ///< Of the server.
     std::string attemptId;
+    Utils::TimePoint sentAt; ///< When the request was written.
     Events events;
     std::unique_ptr<Http1::ClientConnection> connection;
     Utils::Duration idleTimeout = Constants::RepeatableMaxIdle;
@@ -49,6 +50,7 @@
             return;
         if (answer.isLeaving && context->onLeaving)
             context->onLeaving(backendId, startedAtMs);
+        noteRateLimit(answer);
         if (!answer.pause)
             return;
         context->board.notePause(backendId, context->reactor.now() + *answer.pause);
@@ -57,6 +59,32 @@
             {{"server", backendId}, {"request", attemptId}, {"pauseMs", answer.pause->count()}});
     }
 
+    /// Refusals may omit a limit that is still in force, so only an answer to a request that has
+    /// run can end it.
+    auto noteRateLimit(const BackendAnswer &answer) -> void
+    {
+        if (answer.hasMalformedRateLimit) {
+            Utils::logEvent(Utils::Event::RateLimitRejected,
+                            {{"server", backendId}, {"request", attemptId}});
+            return;
+        }
+        if (!answer.rateLimit && (answer.isNotRun || !answer.isSigned))
+            return;
+        const auto now = context->reactor.now();
+        if (!context->rateLimits.noteAnswer(
+                {backendId, startedAtMs, answer.rateLimit, sentAt, now}))
+            return;
+        const RateLimit *limit = context->rateLimits.find(backendId, startedAtMs);
+        Utils::logEvent(Utils::Event::RateLimitChanged,
+                        {{"server", backendId},
+                         {"startedAtMs", startedAtMs},
+                         {"perSecond", limit->perSecond},
+                         {"hasEnded", limit->hasEnded},
+                         {"source", "answer"},
+                         {"request", attemptId},
+                         {"ageMs", 0}});
+    }
+
     auto end(AttemptEnd outcome) -> void
     {
         if (ended)
@@ -122,7 +150,9 @@
         return attempt;
     }
     data->connection = std::move(*connection);
-    if (!data->connection->isConnected()) {
+    if (data->connection->isConnected()) {
+        data->sentAt = context.reactor.now();
+    } else {
         data->connectTimer = context.reactor.callAfter(
             Constants::ConnectTimeout, [weak = std::weak_ptr<Private>(data)] {
                 const auto self = weak.lock();
@@ -141,7 +171,12 @@
     callEvents.onEnd = [d = data.get()](Http1::CallEnd outcome) {
         d->end(Private::translate(outcome));
     };
-    callEvents.maySend = [d = data.get()] { return !d->events.maySend || d->events.maySend(); };
+    callEvents.maySend = [d = data.get()] {
+        if (d->events.maySend && !d->events.maySend())
+            return false;
+        d->sentAt = d->context->reactor.now();
+        return true;
+    };
     data->connection->call(request, std::move(callEvents));
     return attempt;
 }
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration.h"
+#include "ratelimittable.h"
 
 #include <routing/crashsuspects.h>
 #include <routing/retrybudget.h>
@@ -54,6 +55,7 @@
         nullptr; ///< Called when a request finds too little quota.
     std::function<void()> onModelNeeded = nullptr; ///< Called when a request waits for a model.
     bool isStopping = false; ///< New requests are refused.
+    RateLimitTable rateLimits = {}; ///< Named by backend servers.
 
     auto retryBudget(const std::string &service) -> Routing::RetryBudget &
     {
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -364,17 +364,40 @@
     events.onHead = [this](const BackendAnswer &answer) { handleHead(answer); };
     events.onBody = [this](std::string_view data) { handleBody(data); };
     events.onEnd = [this](AttemptEnd outcome) { handleEnd(outcome); };
-    events.maySend = [this] {
-        return timeLeft() > Constants::AnswerMargin && !m_caller->clientHasDisconnected();
+    events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs] {
+        if (timeLeft() <= Constants::AnswerMargin || m_caller->clientHasDisconnected())
+            return false;
+        noteWritten(id, startedAtMs);
+        return true;
     };
     const Duration maxIdle =
         m_route->mayRepeat() ? Constants::RepeatableMaxIdle : Constants::AtMostOnceMaxIdle;
     m_attempt =
         BackendAttempt::start(m_context, server, m_context.wire.formatSend(m_request, details),
                               m_request.attemptId, maxIdle, std::move(events));
+    if (m_attempt->mayHaveArrived())
+        noteWritten(server.id, server.startedAtMs);
     startSilenceTimer();
 }
 
+/// Logs which sends reach a server that has named a limit, and what was known then.
+auto RequestFlow::noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void
+{
+    const RateLimit *limit = m_context.rateLimits.find(serverId, startedAtMs);
+    if (!limit)
+        return;
+    const auto now = m_context.reactor.now();
+    Utils::logEvent(Utils::Event::RequestSentUnderLimit,
+                    {{"request", m_request.attemptId},
+                     {"server", serverId},
+                     {"perSecond", limit->perSecond},
+                     {"hasEnded", limit->hasEnded},
+                     {"limitAgeMs", duration_cast<milliseconds>(now - limit->observedAt).count()},
+                     {"sends", m_sends},
+                     {"mayHaveRun", m_possibleRuns},
+                     {"waitedMs", duration_cast<milliseconds>(now - m_arrivedAt).count()}});
+}
+
 auto RequestFlow::timeLeft() const -> Duration
 {
     return m_deadline - m_context.reactor.now();
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -63,6 +63,8 @@
     auto trySend() -> bool;
     auto send(const BackendServer &server) -> void;
 
+    auto noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void;
+
     auto handleHead(const BackendAnswer &answer) -> void;
     auto handleBody(std::string_view data) -> void;
     auto handleEnd(AttemptEnd outcome) -> void;
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -79,6 +79,10 @@
     bool isLeaving = false; ///< The server is stopping and accepts no new requests.
     std::optional<std::chrono::milliseconds>
         pause; ///< The server asks this gateway for no requests during this time.
+    /// Requests per second that the server accepts from all gateways together while its answers
+    /// say so; 0 if it accepts none.
+    std::optional<double> rateLimit;
+    bool hasMalformedRateLimit = false;
     bool isEncoded = false; ///< An intermediary has encoded the body.
     std::optional<std::string> actualServerId;
     std::optional<BackendLoad> load;
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -163,6 +163,24 @@
     EXPECT_FALSE(answer.forwarded.has("Server-Load"));
 }
 
+TEST(Codecs, RateLimitIsDecoded)
+{
+    Http1::ResponseHead head{200, {}, true};
+    EXPECT_FALSE(decodeAnswer(head).rateLimit);
+    EXPECT_FALSE(decodeAnswer(head).hasMalformedRateLimit);
+    head.fields.add("Server-Limit", " 2.3 ");
+    EXPECT_EQ(decodeAnswer(head).rateLimit, 2.3);
+    Http1::ResponseHead none{503, {}, true};
+    none.fields.add("Server-Limit", "0");
+    EXPECT_EQ(decodeAnswer(none).rateLimit, 0.0);
+    for (const char *text : {"many", "-1", "inf", "nan", "1 2", ""}) {
+        Http1::ResponseHead faulty{200, {}, true};
+        faulty.fields.add("Server-Limit", text);
+        EXPECT_FALSE(decodeAnswer(faulty).rateLimit) << text;
+        EXPECT_TRUE(decodeAnswer(faulty).hasMalformedRateLimit) << text;
+    }
+}
+
 TEST(Codecs, LeavingAndRetryAfterAreDecoded)
 {
     Http1::ResponseHead head{503, {}, true};
