A backend server's limit is not forwarded to callers

Callers saw the header in which a server tells the gateways its limit, as the list of such fields missed it.

--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -170,6 +170,7 @@
     EXPECT_FALSE(decodeAnswer(head).hasMalformedRateLimit);
     head.fields.add("Server-Limit", " 2.3 ");
     EXPECT_EQ(decodeAnswer(head).rateLimit, 2.3);
+    EXPECT_FALSE(decodeAnswer(head).forwarded.has("Server-Limit"));
     Http1::ResponseHead none{503, {}, true};
     none.fields.add("Server-Limit", "0");
     EXPECT_EQ(decodeAnswer(none).rateLimit, 0.0);
