--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -4,6 +4,7 @@
 #include "connectionpool.h"
 #include "gatewayconstants.h"
 #include "gatewaycontext.h"
+#include "permitexchange.h"
 
 #include <http1/clientconnection.h>
 #include <net/reactor.h>
@@ -70,19 +71,10 @@
         }
         if (!answer.rateLimit && (answer.isNotRun || !answer.isSigned))
             return;
-        const auto now = context->reactor.now();
-        if (!context->rateLimits.noteAnswer(
-                {backendId, startedAtMs, answer.rateLimit, sentAt, now}))
+        if (!context->permits)
             return;
-        const RateLimit *limit = context->rateLimits.find(backendId, startedAtMs);
-        Utils::logEvent(Utils::Event::RateLimitChanged,
-                        {{"server", backendId},
-                         {"startedAtMs", startedAtMs},
-                         {"perSecond", limit->perSecond},
-                         {"hasEnded", limit->hasEnded},
-                         {"source", "answer"},
-                         {"request", attemptId},
-                         {"ageMs", 0}});
+        context->permits->noteAnswer(
+            {backendId, startedAtMs, answer.rateLimit, sentAt, context->reactor.now()}, attemptId);
     }
 
     auto end(AttemptEnd outcome) -> void
--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -1,6 +1,7 @@
 #include "backendregistry.h"
 
 #include "gatewayconstants.h"
+#include "sendallowance.h"
 #include "wireformat.h"
 
 #include <utils/rendezvous.h>
@@ -36,6 +37,11 @@
     m_gatewayCount = std::max(count, 1);
 }
 
+auto BackendRegistry::setSendAllowance(const SendAllowance *allowance) -> void
+{
+    m_allowance = allowance;
+}
+
 auto BackendRegistry::setCapacity(const std::string &service, int slots) -> void
 {
     m_capacity[service] = slots;
@@ -182,29 +188,45 @@
     return found == m_capacity.end() ? std::max(entry.server.slots, 1) : found->second;
 }
 
+auto BackendRegistry::needsPermit(const Entry &entry) const -> bool
+{
+    return m_allowance && m_allowance->needsPermit(entry.server);
+}
+
+auto BackendRegistry::isCandidate(const std::string &id, const Entry &entry,
+                                  const BackendRequirements &requirements, TimePoint now) const
+    -> bool
+{
+    return entry.server.service == requirements.service && !entry.server.isLeaving
+        && requirements.excluded.count(id) == 0 && entry.ejectedUntil <= now
+        && entry.avoidedUntil <= now && entry.pausedUntil <= now && holds(entry, requirements)
+        && loadOf(entry, now) < capacityOf(entry);
+}
+
+auto BackendRegistry::scoreOf(const Entry &entry, TimePoint now) const -> double
+{
+    // A server in another failure domain is weighted like one with another request in flight, a
+    // failing server like one with several.
+    constexpr double remoteDomainPenalty = 0.75;
+    constexpr double failurePenalty = 4;
+    return loadOf(entry, now)
+        + (entry.server.failureDomain == m_failureDomain ? 0.0 : remoteDomainPenalty)
+        + entry.failureRate * failurePenalty;
+}
+
 auto BackendRegistry::choose(const BackendRequirements &requirements, TimePoint now) const
     -> std::optional<std::string>
 {
     const Entry *best = nullptr;
-    double bestScore = 0;
+    std::pair<bool, double> bestScore; // Servers without a limit come first.
     std::uint64_t bestRank = 0;
     for (const auto &[id, entry] : m_entries) {
-        const BackendServer &server = entry.server;
-        if (server.service != requirements.service || server.isLeaving
-            || requirements.excluded.count(id) > 0 || entry.ejectedUntil > now
-            || entry.avoidedUntil > now || entry.pausedUntil > now || !holds(entry, requirements))
+        if (!isCandidate(id, entry, requirements, now))
             continue;
-        const double load = loadOf(entry, now);
-        const int capacity = capacityOf(entry);
-        if (load >= capacity)
+        const bool isLimited = needsPermit(entry);
+        if (isLimited && !m_allowance->hasPermit(entry.server))
             continue;
-        // A server in another failure domain is weighted like one with another request in flight, a
-        // failing server like one with several.
-        constexpr double remoteDomainPenalty = 0.75;
-        constexpr double failurePenalty = 4;
-        const double score = load
-            + (server.failureDomain == m_failureDomain ? 0.0 : remoteDomainPenalty)
-            + entry.failureRate * failurePenalty;
+        const std::pair score(isLimited, scoreOf(entry, now));
         const std::uint64_t rank = Utils::stableHash(requirements.affinity + id);
         if (!best || score < bestScore || (score == bestScore && rank > bestRank)) {
             best = &entry;
@@ -217,6 +239,38 @@
     return best->server.id;
 }
 
+auto BackendRegistry::choosePermitServer(const BackendRequirements &requirements,
+                                         const std::string &current, TimePoint now) const
+    -> std::optional<std::string>
+{
+    const Entry *best = nullptr;
+    double bestScore = 0;
+    for (const auto &[id, entry] : m_entries) {
+        if (!needsPermit(entry) || !isCandidate(id, entry, requirements, now))
+            continue;
+        if (id == current)
+            return id;
+        const double score = scoreOf(entry, now);
+        if (!best || score < bestScore) {
+            best = &entry;
+            bestScore = score;
+        }
+    }
+    if (!best)
+        return {};
+    return best->server.id;
+}
+
+auto BackendRegistry::hasServerWithoutLimit(const BackendRequirements &requirements) const -> bool
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        const Entry &entry = item.second;
+        // Engines may load the model while the request waits.
+        return entry.server.service == requirements.service && !entry.server.isLeaving
+            && requirements.excluded.count(item.first) == 0 && !needsPermit(entry);
+    });
+}
+
 auto BackendRegistry::isHeld(const BackendRequirements &requirements) const -> bool
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -14,6 +14,7 @@
 
 namespace Gateway {
 
+class SendAllowance;
 struct BackendLoad;
 struct EngineReport;
 
@@ -45,6 +46,8 @@
     explicit BackendRegistry(std::string failureDomain);
 
     auto setGatewayCount(int count) -> void;
+    /// Servers that need a permit are only chosen if there is one. Must outlive the registry.
+    auto setSendAllowance(const SendAllowance *allowance) -> void;
     /// Applies an entry of the server list. Returns false if an entry of a newer incarnation is
     /// known.
     auto update(const BackendServer &server, Utils::TimePoint now) -> bool;
@@ -70,6 +73,12 @@
     /// Selects the server for a request; unset if no server with the model has capacity.
     auto choose(const BackendRequirements &requirements, Utils::TimePoint now) const
         -> std::optional<std::string>;
+    /// Selects the server to request a permit for; unset if none needs one. Keeps `current` while
+    /// it may still be selected.
+    auto choosePermitServer(const BackendRequirements &requirements, const std::string &current,
+                            Utils::TimePoint now) const -> std::optional<std::string>;
+    /// True if a server may serve the request without a permit, now or after a load or a pause.
+    auto hasServerWithoutLimit(const BackendRequirements &requirements) const -> bool;
     /// True if any usable server holds the model, with or without free capacity.
     auto isHeld(const BackendRequirements &requirements) const -> bool;
     /// True if the service has any usable server.
@@ -103,12 +112,19 @@
     /// The list's entry, merged with what the server itself announced.
     auto withAnnouncedState(const BackendServer &server) const -> BackendServer;
     auto holds(const Entry &entry, const BackendRequirements &requirements) const -> bool;
+    /// True if the server may get the request now, apart from a permit.
+    auto isCandidate(const std::string &id, const Entry &entry,
+                     const BackendRequirements &requirements, Utils::TimePoint now) const -> bool;
+    auto needsPermit(const Entry &entry) const -> bool;
+    /// The lowest score is the best one.
+    auto scoreOf(const Entry &entry, Utils::TimePoint now) const -> double;
     auto mayEject(const std::string &service, Utils::TimePoint now) const -> bool;
     auto loadOf(const Entry &entry, Utils::TimePoint now) const -> double;
     auto capacityOf(const Entry &entry) const -> int;
 
     std::string m_failureDomain;
     int m_gatewayCount = 1;
+    const SendAllowance *m_allowance = nullptr;
     std::map<std::string, Entry> m_entries;
     /// Start time of the newest incarnation that announced its leaving. Includes unlisted servers,
     /// because an entry may expire and reappear.
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -110,6 +110,29 @@
 /// Fraction of the fleet's retry budget that is used; the rest covers sliding windows.
 constexpr double RetryBudgetUse = 0.8;
 
+/// Limits on requests per second that backend servers name. The platform allows 1.5 times the limit
+/// in any four seconds, plus five requests. The first issuer uses the whole limit and the second
+/// one a share of it, because both may be asked at once; their permits of four seconds and one
+/// lifetime must stay within that: (4 + 0.4) * (1 + 0.35) < 4 * 1.5.
+constexpr double SecondIssuerRateShare = 0.35;
+/// Permits that the first issuer issues at once after an idle time; the second one issues one.
+constexpr int PermitBurst = 2;
+/// Time after a permit's due time in which the request must be written.
+constexpr std::chrono::milliseconds PermitLifetime(400);
+/// Permits per second for a server that names a lower limit or none at all; its answers show when
+/// the limit ends.
+constexpr double MinPermitRate = 0.25;
+/// After this time without an answer, a permit is requested again.
+constexpr std::chrono::milliseconds PermitAskTimeout(100);
+/// How long the second issuer is asked after the first one did not answer.
+constexpr std::chrono::milliseconds IssuerSilenceTime(1000);
+/// A gateway that the holder of the placement lease doesn't list for this long issues no permits.
+/// A new holder lists the others only once they have reported to it.
+constexpr std::chrono::milliseconds PermitIssuerRetention(8000);
+/// After a limit has ended, its rate doubles at this interval, and is unlimited after this time.
+constexpr std::chrono::milliseconds RateLimitRampStep(500);
+constexpr std::chrono::milliseconds RateLimitRampTime(2000);
+
 /// Delay before waiting requests are dispatched, so that many events at once cause one pass.
 constexpr std::chrono::milliseconds DispatchDelay(2);
 /// Interval between two writes of buffered log lines; each write costs a system call.
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -25,6 +25,7 @@
 class ConnectionPool;
 class DemandTracker;
 class DenialCheck;
+class PermitExchange;
 class QuotaLedger;
 class RequestQueue;
 class WireFormat;
@@ -56,6 +57,7 @@
     std::function<void()> onModelNeeded = nullptr; ///< Called when a request waits for a model.
     bool isStopping = false; ///< New requests are refused.
     RateLimitTable rateLimits = {}; ///< Named by backend servers.
+    PermitExchange *permits = nullptr; ///< Set before the first request arrives.
 
     auto retryBudget(const std::string &service) -> Routing::RetryBudget &
     {
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -12,6 +12,7 @@
 #include "gatewaysettings.h"
 #include "leavingnotifier.h"
 #include "peerlink.h"
+#include "permitexchange.h"
 #include "placementcoordinator.h"
 #include "quotaexchange.h"
 #include "quotaledger.h"
@@ -103,6 +104,7 @@
     std::unique_ptr<PeerLink> link;
     std::unique_ptr<PlacementCoordinator> placement;
     std::unique_ptr<QuotaExchange> quotaExchange;
+    std::unique_ptr<PermitExchange> permits;
     std::unique_ptr<Http1::TcpListener> callerListener;
     std::unique_ptr<StatusServer> readinessServer;
     std::unique_ptr<StatusServer> metricsServer;
@@ -153,7 +155,8 @@
             [this](const nlohmann::json &message, const Http1::SocketAddress &sender) {
                 if (!quotaExchange->takeMessage(message, sender)
                     && !crashTracker.handleMessage(message, reactor.now())
-                    && !leavingNotifier.handleMessage(message))
+                    && !leavingNotifier.handleMessage(message)
+                    && !permits->handleMessage(message, sender))
                     placement->handleMessage(message, sender);
             });
         if (!peers)
@@ -243,6 +246,17 @@
                 [this](const Http1::SocketAddress &peer, const nlohmann::json &message) {
                     link->send(peer, message);
                 }});
+        permits = std::make_unique<PermitExchange>(
+            reactor, metrics, context.rateLimits, settings.peerAddress,
+            PermitExchange::Transport{
+                [this] { return placement->knownPeers(); },
+                [this](const Http1::SocketAddress &peer, const nlohmann::json &message) {
+                    link->send(peer, message);
+                },
+                [] { return Utils::bootTime(); }},
+            [this] { requestQueue.wake(); });
+        registry.setSendAllowance(permits.get());
+        context.permits = permits.get();
         context.onModelNeeded = [this] { placement->requestUpdate(); };
         context.onQuotaShortage = [this] { quotaExchange->requestMissingQuota(); };
         PlacementCoordinator::CoordinationEvents coordinationEvents;
--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -500,6 +500,13 @@
     return d->aggregator.gateways();
 }
 
+auto PlacementCoordinator::knownPeers() const -> std::optional<std::vector<Http1::SocketAddress>>
+{
+    if (!d->isHolder && d->announcedPeers.empty())
+        return {};
+    return peers();
+}
+
 auto PlacementCoordinator::isHolder() const -> bool
 {
     return d->isHolder;
--- a/src/libs/gateway/placementcoordinator.h
+++ b/src/libs/gateway/placementcoordinator.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,8 @@
     auto isHolder() const -> bool;
     /// Addresses of the other gateways, as known to the lease holder.
     auto peers() const -> std::vector<Http1::SocketAddress>;
+    /// The same; unset until the lease holder is known.
+    auto knownPeers() const -> std::optional<std::vector<Http1::SocketAddress>>;
 
 private:
     struct Private;
--- a/src/libs/gateway/ratelimittable.cpp
+++ b/src/libs/gateway/ratelimittable.cpp
@@ -1,6 +1,9 @@
 #include "ratelimittable.h"
 
+#include "gatewayconstants.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace Gateway {
 
@@ -13,6 +16,15 @@
 
 } // namespace
 
+auto rateAt(const RateLimit &limit, TimePoint now) -> double
+{
+    const double named = std::max(limit.perSecond, Constants::MinPermitRate);
+    if (!limit.hasEnded)
+        return named;
+    const auto steps = (now - limit.observedAt) / Constants::RateLimitRampStep + 1;
+    return std::ldexp(named, static_cast<int>(steps));
+}
+
 auto RateLimitTable::noteAnswer(const Observation &observation) -> bool
 {
     const auto &[server, startedAtMs, perSecond, sentAt, observedAt] = observation;
--- a/src/libs/gateway/ratelimittable.h
+++ b/src/libs/gateway/ratelimittable.h
@@ -18,6 +18,10 @@
     Utils::TimePoint observedAt; ///< When the newest answer that this is based on arrived.
 };
 
+/// Requests per second that the limit allows at `now`. After its end, the rate rises in steps, so
+/// that the gateways do not all return at once.
+auto rateAt(const RateLimit &limit, Utils::TimePoint now) -> double;
+
 /// The limits that backend servers named, as far as this gateway knows. Answers and messages of
 /// other gateways may cross; the newest observation of the newest incarnation holds. Needs no
 /// network and reads no clock.
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -99,8 +99,12 @@
         handleComplete();
         return;
     case AttemptEnd::NotSent:
-        m_context.pool.closeIdleConnections(m_attempt->backendId());
-        endAttempt(SendOutcome::Unreachable);
+        if (m_isHeldBack) {
+            endAttempt(SendOutcome::Abandoned);
+        } else {
+            m_context.pool.closeIdleConnections(m_attempt->backendId());
+            endAttempt(SendOutcome::Unreachable);
+        }
         if (!trySend())
             waitForServer();
         return;
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -4,6 +4,7 @@
 #include "denialcheck.h"
 #include "gatewayconstants.h"
 #include "gatewaycontext.h"
+#include "permitexchange.h"
 #include "quotaledger.h"
 #include "requestqueue.h"
 
@@ -260,6 +261,7 @@
     const RequestRank rank = {m_customer ? m_customer->priority : 0, m_route->priority,
                               m_arrivedAt + m_route->latencyObjective};
     m_context.requestQueue.add(shared_from_this(), rank);
+    requestPermit();
     if (!m_needsModel)
         return;
     m_context.demand.noteWaiting(m_modelKey, m_context.reactor.now());
@@ -284,11 +286,60 @@
     if (!m_isWaiting)
         return;
     m_isWaiting = false;
+    cancelPermit();
     m_context.requestQueue.remove(this);
     if (m_needsModel)
         m_context.demand.noteWaitingEnded(m_modelKey);
 }
 
+/// Requests a permit if the request can only be sent to a server that has named a limit.
+auto RequestFlow::requestPermit() -> void
+{
+    const bool isOpen = m_permitTicket && m_context.permits->isOpen(*m_permitTicket);
+    BackendRequirements needed = requirements();
+    needed.excluded.insert(m_refusedPermits.begin(), m_refusedPermits.end());
+    const auto now = m_context.reactor.now();
+    const auto id =
+        m_context.board.choosePermitServer(needed, isOpen ? m_permitServer : std::string(), now);
+    if (isOpen && id == m_permitServer)
+        return;
+    cancelPermit();
+    if (!id)
+        return;
+    m_permitServer = *id;
+    PermitExchange::Need need;
+    need.server = *id;
+    need.startedAtMs = m_context.board.find(*id)->startedAtMs;
+    need.request = m_request.attemptId;
+    need.patience = m_waitEnd - now;
+    need.onRefused = [weak = weak_from_this(), server = *id](Duration delay) {
+        if (const auto flow = weak.lock())
+            flow->handlePermitRefused(server, delay);
+    };
+    m_permitTicket = m_context.permits->request(std::move(need));
+}
+
+auto RequestFlow::cancelPermit() -> void
+{
+    if (m_permitTicket)
+        m_context.permits->cancel(*m_permitTicket);
+    m_permitTicket.reset();
+}
+
+/// Tries another server with a limit; refuses the request if no other server can take it in time.
+auto RequestFlow::handlePermitRefused(const std::string &server, Duration delay) -> void
+{
+    if (m_isDone || !m_isWaiting)
+        return;
+    m_permitTicket.reset();
+    m_permitDelay = m_refusedPermits.empty() ? delay : std::min(m_permitDelay, delay);
+    m_refusedPermits.insert(server);
+    requestPermit();
+    if (m_permitTicket || m_context.board.hasServerWithoutLimit(requirements()))
+        return;
+    refuse(m_possibleRuns > 0 ? RefusalReason::BackendFailed : RefusalReason::WouldMissDeadline);
+}
+
 auto RequestFlow::abort() -> void
 {
     if (m_isDone)
@@ -303,8 +354,12 @@
     // Callers of a stopping gateway are better served elsewhere than by waiting for its end.
     if (m_isWaiting && m_context.isStopping)
         return abort();
-    if (m_isWaiting && trySend())
+    if (!m_isWaiting)
+        return;
+    if (trySend())
         stopWaiting();
+    else
+        requestPermit();
 }
 
 auto RequestFlow::trySend() -> bool
@@ -357,6 +412,8 @@
     m_body.clear();
     m_splitter.clear();
     ++m_sends;
+    m_permitUsableUntil = m_context.permits->take(server);
+    m_isHeldBack = false;
     m_context.board.noteSent(server.id);
     if (m_needsModel)
         m_context.demand.noteRunning(m_modelKey, 1);
@@ -367,6 +424,9 @@
     events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs] {
         if (timeLeft() <= Constants::AnswerMargin || m_caller->clientHasDisconnected())
             return false;
+        m_isHeldBack = !maySendNow(id, startedAtMs);
+        if (m_isHeldBack)
+            return false;
         noteWritten(id, startedAtMs);
         return true;
     };
@@ -380,6 +440,15 @@
     startSilenceTimer();
 }
 
+/// False if the server has named a limit since the connection was opened, or the permit has
+/// expired.
+auto RequestFlow::maySendNow(const std::string &serverId, std::int64_t startedAtMs) const -> bool
+{
+    if (m_permitUsableUntil)
+        return m_context.permits->isValid(*m_permitUsableUntil);
+    return !m_context.rateLimits.find(serverId, startedAtMs);
+}
+
 /// Logs which sends reach a server that has named a limit, and what was known then.
 auto RequestFlow::noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void
 {
@@ -449,6 +518,8 @@
         return std::clamp(duration_cast<milliseconds>(pauseEnd - now), Constants::DefaultRetryAfter,
                           Constants::MaxRetryAfter);
     }
+    case RefusalReason::WouldMissDeadline:
+        return std::max(duration_cast<milliseconds>(m_permitDelay), Constants::DefaultRetryAfter);
     case RefusalReason::NotFresh:
     case RefusalReason::Draining:
     case RefusalReason::LoadFailed:
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -60,6 +60,10 @@
     auto waitForServer() -> void;
     auto refuseIfAllPaused() -> bool;
     auto stopWaiting() -> void;
+    auto requestPermit() -> void;
+    auto cancelPermit() -> void;
+    auto handlePermitRefused(const std::string &server, Utils::Duration delay) -> void;
+    auto maySendNow(const std::string &serverId, std::int64_t startedAtMs) const -> bool;
     auto trySend() -> bool;
     auto send(const BackendServer &server) -> void;
 
@@ -113,6 +117,12 @@
                                                        ///< confirmation of the configuration.
     Net::Reactor::TimerId m_silenceTimer = 0;
     bool m_isWaiting = false;
+    std::optional<std::uint64_t> m_permitTicket; ///< While a permit is requested.
+    std::string m_permitServer; ///< The server that it is requested for.
+    std::set<std::string> m_refusedPermits; ///< Servers whose limit leaves no room in time.
+    Utils::Duration m_permitDelay{0}; ///< Until the first of them has room again.
+    std::optional<Utils::TimePoint> m_permitUsableUntil; ///< Of the permit of the current attempt.
+    bool m_isHeldBack = false; ///< The current attempt was cancelled for lack of a permit.
     bool m_isDone = false;
     double m_charged = 0;
 
--- a/src/libs/monitoring/metrics.cpp
+++ b/src/libs/monitoring/metrics.cpp
@@ -18,6 +18,8 @@
         {"acacia_refusals_total", "counter", "Requests refused, by reason."},
         {"acacia_retries_total", "counter",
          "Attempts repeated at another backend server or connection, by reason."},
+        {"acacia_permits_total", "counter",
+         "Permits to send to backend servers that named a limit, by result."},
         {"acacia_request_seconds", "histogram", "Time from a request's arrival to its last byte."},
         {"acacia_first_byte_seconds", "histogram",
          "Time from a request's arrival to the answer's first byte."},
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -83,10 +83,10 @@
         store->put("op", "config", configuration.dump());
     }
 
-    auto startGateway() -> void
+    auto startGateway(const std::string &name = "g1") -> void
     {
         Gateway::GatewaySettings settings;
-        settings.name = "g1";
+        settings.name = name;
         settings.failureDomain = "a";
         settings.callerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
@@ -106,9 +106,9 @@
         gateway = std::move(*created);
     }
 
-    auto startReadyGateway() -> void
+    auto startReadyGateway(const std::string &name = "g1") -> void
     {
-        startGateway();
+        startGateway(name);
         ASSERT_TRUE(runUntil([this] { return readinessStatus() == 200; }));
     }
 
--- a/tests/auto/platform/tst_ratelimits.cpp
+++ b/tests/auto/platform/tst_ratelimits.cpp
@@ -31,7 +31,7 @@
     auto startGateways(int count) -> void
     {
         for (int i = 0; i < count; ++i) {
-            startReadyGateway();
+            startReadyGateway("g" + std::to_string(i));
             members.push_back({std::move(rows), std::move(gateway), address});
         }
     }
@@ -145,3 +145,52 @@
     sendSteadily(12, 9s, "/batch/x", m1);
     EXPECT_THAT(violations, testing::IsEmpty());
 }
+
+// Guards against refusals while another server has room.
+TEST_F(LimitedServers, AnotherServerTakesWhatTheLimitLeaves)
+{
+    for (const char *id : {"i-1", "i-2"})
+        watch(addEngine(id, "app"));
+    startGateways(4);
+    sendSteadily(20, 1s, "/file/x");
+    nameLimit(*engines[0], "0.5");
+    calls.clear();
+    sendSteadily(20, 4s, "/file/x");
+    EXPECT_EQ(count(200), 80);
+    EXPECT_THAT(violations, testing::IsEmpty());
+}
+
+// Guards against callers that wait for their deadline although the next permit is known to come
+// later, and against a Retry-After that leads them into another refusal.
+TEST_F(LimitedServers, RequestThatTheLimitLeavesNoRoomForIsRefusedAtOnce)
+{
+    addEngine("i-1", "app");
+    startGateways(2);
+    nameLimit(*engines[0], "0.5");
+    sendSteadily(20, 1s, "/file/x");
+    calls.clear();
+    sendSteadily(20, 1s, "/file/x");
+    ASSERT_GE(count(503), 18);
+    for (const auto &call : calls) {
+        if (call->answer.status != 503)
+            continue;
+        EXPECT_LT(call->endedAt - call->sentAt, 200ms);
+        const double retryAfter = std::stod(std::string(*call->answer.fields.value("Retry-After")));
+        EXPECT_GE(retryAfter, 0.7) << "half of the caller's time; an earlier permit would be used";
+        EXPECT_LE(retryAfter, 2.5);
+    }
+}
+
+TEST_F(LimitedServers, AllRequestsAreServedAgainAfterTheLimitHasEnded)
+{
+    auto &engine = addEngine("i-1", "app");
+    startGateways(2);
+    nameLimit(engine, "2");
+    sendSteadily(10, 1s, "/file/x");
+    EXPECT_GT(count(503), 0);
+    engine.behaviour.rateLimit.clear();
+    sendSteadily(10, 4s, "/file/x");
+    calls.clear();
+    sendSteadily(20, 1s, "/file/x");
+    EXPECT_EQ(count(200), 20);
+}
