The soak plays servers that name limits; waiting requests ask for permits only if a limit is known

Gateways whose process is stopped, paused or slow, and links that held requests back, are left out, as the platform's pages do. RequestFlow::requestPermit returns early without limits, as each waiting request calls it every 25 ms.

--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -295,6 +295,9 @@
 /// Requests a permit if the request can only be sent to a server that has named a limit.
 auto RequestFlow::requestPermit() -> void
 {
+    // All waiting requests do this again and again.
+    if (m_context.rateLimits.all().empty())
+        return cancelPermit();
     const bool isOpen = m_permitTicket && m_context.permits->isOpen(*m_permitTicket);
     BackendRequirements needed = requirements();
     needed.excluded.insert(m_refusedPermits.begin(), m_refusedPermits.end());
--- a/tests/auto/platform/soak/attempt.h
+++ b/tests/auto/platform/soak/attempt.h
@@ -33,6 +33,7 @@
     bool isWhole = false;
     bool isSigned = false;
     std::string body;
+    std::string server; ///< That signed the answer; empty if none did.
     bool callerLeft = false; ///< The caller closed the connection itself.
 };
 
--- a/tests/auto/platform/soak/faultscript.cpp
+++ b/tests/auto/platform/soak/faultscript.cpp
@@ -20,7 +20,7 @@
 
 using Kind = FaultScript::Kind;
 
-constexpr std::array<const char *, 39> kindNames = {"gateway freeze",
+constexpr std::array<const char *, 40> kindNames = {"gateway freeze",
                                                     "gateway kill",
                                                     "gateway stop",
                                                     "gateway hangup",
@@ -58,7 +58,10 @@
                                                     "routes dropped",
                                                     "route added and used",
                                                     "key added",
-                                                    "key dropped"};
+                                                    "key dropped",
+                                                    "engine names limit"};
+/// Limits in requests per second; the duration of the fault selects one.
+constexpr std::array<const char *, 5> rateLimits = {"0.5", "1", "2.3", "5", "20"};
 /// Kinds that `draw` picks from.
 constexpr size_t commonKinds = 28;
 
@@ -91,6 +94,12 @@
         || kind == Kind::GatewayStoreSlow || kind == Kind::GatewayStoreThrottled;
 }
 
+/// Faults that stop, pause or slow down a gateway's process.
+auto isProcessFault(Kind kind) -> bool
+{
+    return kind <= Kind::GatewayStop || kind == Kind::GatewaySlow;
+}
+
 auto isStoreFault(Kind kind) -> bool
 {
     return (kind >= Kind::StoreBusy && kind <= Kind::StoreForgetsHistory) || kind == Kind::StoreSlow
@@ -158,6 +167,22 @@
     return steps;
 }
 
+auto FaultScript::drawLimits(std::uint64_t seed, milliseconds length, size_t engines)
+    -> std::vector<Step>
+{
+    constexpr std::uint64_t seedOffset = 0x280000;
+    std::mt19937_64 random(seed + seedOffset);
+    std::vector<Step> steps;
+    constexpr int gapMs = 3000;
+    constexpr int minDurationMs = 4000;
+    constexpr int durationSpreadMs = 8000;
+    for (milliseconds at(random() % gapMs); at < length; at += milliseconds(random() % gapMs))
+        steps.push_back(
+            {at, Kind::EngineNamesLimit, random() % engines,
+             std::min(milliseconds(minDurationMs + random() % durationSpreadMs), length - at)});
+    return steps;
+}
+
 auto FaultScript::drawGrowth(std::uint64_t seed, milliseconds length, milliseconds faults,
                              size_t gateways) -> std::vector<Step>
 {
@@ -257,6 +282,8 @@
         else if (isLinkFault(step.kind))
             m_deployment.checker().noteLinkDisturbed(
                 m_deployment.engines().at(step.target).server->id(), now);
+        if (isProcessFault(step.kind))
+            m_deployment.checker().noteProcessDisturbed(step.target);
     }
     m_deployment.checkProcesses();
     m_deployment.reactor().callAfter(TickInterval, [self = shared_from_this()] {
@@ -273,6 +300,11 @@
         return beginStoreFault(step);
     if (isEngineFault(step.kind))
         return beginEngineFault(step);
+    if (step.kind == Kind::EngineNamesLimit) {
+        const auto choice = static_cast<size_t>(step.duration.count()) % rateLimits.size();
+        m_deployment.engines().at(step.target).server->behaviour.rateLimit = rateLimits.at(choice);
+        return;
+    }
     beginOperatorAction(step);
 }
 
@@ -418,6 +450,8 @@
         return gateway->storeWire->setDelay(milliseconds(0));
     case Kind::GatewayStoreThrottled:
         return gateway->throttledWire->setMbitPerSecond(gateway->baseMbitPerSecond);
+    case Kind::EngineNamesLimit:
+        return m_deployment.engines().at(step.target).server->behaviour.rateLimit.clear();
     case Kind::CallerBurst:
         return m_deployment.setBurstActive(false);
     case Kind::StoreBusy:
@@ -499,6 +533,7 @@
     SoakDeployment::Gateway &gateway = m_deployment.gateways().at(index);
     const TimePoint now = m_deployment.reactor().now();
     m_deployment.checker().noteDisturbed(index, now);
+    m_deployment.checker().noteProcessDisturbed(index);
     if (gateway.process->isRunning() && now < deadline) {
         m_deployment.reactor().callAfter(
             TickInterval,
--- a/tests/auto/platform/soak/faultscript.h
+++ b/tests/auto/platform/soak/faultscript.h
@@ -58,6 +58,7 @@
         RouteAddedAndUsed,
         KeyAdded,
         KeyDropped,
+        EngineNamesLimit,
     };
     struct Step
     {
@@ -81,6 +82,9 @@
     /// gateway, or all.
     static auto drawGrowth(std::uint64_t seed, std::chrono::milliseconds length,
                            std::chrono::milliseconds faults, size_t gateways) -> std::vector<Step>;
+    /// Draws engines that name a limit on requests per second, in addition to other faults.
+    static auto drawLimits(std::uint64_t seed, std::chrono::milliseconds length, size_t engines)
+        -> std::vector<Step>;
     static auto mayAccompanyGrowth(std::uint64_t seed, const Step &step, size_t gateways) -> bool;
     static auto describe(const Step &step) -> std::string;
 
--- a/tests/auto/platform/soak/invariantchecker.cpp
+++ b/tests/auto/platform/soak/invariantchecker.cpp
@@ -52,6 +52,11 @@
     m_disturbedAt.at(gateway) = now;
 }
 
+auto InvariantChecker::noteProcessDisturbed(size_t gateway) -> void
+{
+    m_rateLimits.noteExcused(gateway);
+}
+
 auto InvariantChecker::noteAllDisturbed(TimePoint now) -> void
 {
     m_allDisturbedAt = now;
@@ -94,6 +99,9 @@
         attempt.kind == RequestKind::AtMostOnce || attempt.kind == RequestKind::Stream;
     if (isSuccess(end.status))
         checkSuccess(record, end, now);
+    if (const auto incarnation = m_incarnations.find(end.server);
+        incarnation != m_incarnations.end())
+        m_rateLimits.noteTold(incarnation->second, attempt.gateway, now);
     if (meansNotExecuted(end.status) && mayRunOnce) {
         record.isReportedNotRun = true;
         if (record.runs > 0)
@@ -228,6 +236,9 @@
         && isStable(attempt.gateway, leaving->second))
         reportViolation("DRAIN", attempt.id + " reached " + engine.id() + ", which is leaving",
                         now);
+    // A disturbed link hands over the requests of several seconds at once.
+    if (!isDelayed)
+        checkRateLimit(engine, attempt.gateway, now);
     if (arrival.hasRun)
         checkRun(record, now);
 }
@@ -302,6 +313,22 @@
                         now);
 }
 
+auto InvariantChecker::checkRateLimit(const Emulator::EmulatedEngine &engine, size_t gateway,
+                                      TimePoint now) -> void
+{
+    const std::string key = engine.id() + '@' + std::to_string(engine.incarnation());
+    m_incarnations[engine.id()] = key;
+    const std::string &limit = engine.behaviour.rateLimit;
+    std::string &named = m_namedLimits[key];
+    if (named != limit && !limit.empty())
+        m_rateLimits.noteNamed(key, std::stod(limit), now);
+    else if (named != limit)
+        m_rateLimits.noteEnded(key);
+    named = limit;
+    if (const auto violation = m_rateLimits.noteArrival(key, gateway, now))
+        reportViolation("LIMIT", *violation, now);
+}
+
 auto InvariantChecker::noteLeaving(const std::string &engine, TimePoint now) -> void
 {
     m_leavingSince[engine] = now;
@@ -345,7 +372,7 @@
     text << "; checked after additions: " << m_checkedPresent
          << ", after removals: " << m_checkedRemoved
          << "; longest denial at undisturbed gateways: " << Utils::toSeconds(m_longestDenial)
-         << " s";
+         << " s; highest use of a server's limit: " << m_rateLimits.highestUse();
     return text.str();
 }
 
--- a/tests/auto/platform/soak/invariantchecker.h
+++ b/tests/auto/platform/soak/invariantchecker.h
@@ -3,6 +3,8 @@
 #include "attempt.h"
 #include "configurationhistory.h"
 
+#include "../../shared/ratelimitchecker.h"
+
 #include <platform/emulator/emulatedengine.h>
 #include <utils/timepoint.h>
 
@@ -25,6 +27,8 @@
     auto noteStart(Utils::TimePoint now) -> void;
     /// A fault affects the gateway, its links or its process at the time `now`.
     auto noteDisturbed(size_t gateway, Utils::TimePoint now) -> void;
+    /// The gateway's process is stopped, paused or slow.
+    auto noteProcessDisturbed(size_t gateway) -> void;
     /// A fault affects the store or anything else that all gateways depend on.
     auto noteAllDisturbed(Utils::TimePoint now) -> void;
     /// The link between an engine and all gateways is cut, delayed or reset.
@@ -84,6 +88,8 @@
     auto countCheckable(const Attempt &attempt) -> void;
     auto checkDenial(const Attempt &attempt, int status, Utils::TimePoint now) -> void;
     auto checkRun(Record &record, Utils::TimePoint now) -> void;
+    auto checkRateLimit(const Emulator::EmulatedEngine &engine, size_t gateway,
+                        Utils::TimePoint now) -> void;
     auto checkQuota(const Attempt &attempt, Utils::TimePoint now) -> void;
     auto checkTimeliness(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
 
@@ -99,6 +105,9 @@
     std::vector<Utils::TimePoint> m_processStartedAt; ///< By gateway.
     std::map<std::string, Quota> m_quotas;
     std::map<std::string, LastOrder> m_orders; ///< By engine.
+    RateLimitChecker m_rateLimits;
+    std::map<std::string, std::string> m_namedLimits; ///< By engine and incarnation.
+    std::map<std::string, std::string> m_incarnations; ///< Newest of each engine.
     std::map<std::string, int> m_outcomes;
     int m_checkedPresent = 0; ///< Names used after their addition, or removal, had to be applied.
     int m_checkedRemoved = 0;
--- a/tests/auto/platform/soak/main.cpp
+++ b/tests/auto/platform/soak/main.cpp
@@ -37,6 +37,7 @@
     int callers = 36;
     bool hasSlowGateways = false;
     bool hasGrowth = false;
+    bool hasLimits = false;
     std::string program;
     std::string folder;
 };
@@ -64,6 +65,7 @@
     options.faults = seconds(faultSeconds);
     options.hasSlowGateways = line.value("slow", "no") == "yes";
     options.hasGrowth = line.value("growth", "no") == "yes";
+    options.hasLimits = line.value("limits", "no") == "yes";
     options.program = line.value("program", "build/bin/acacia-gateway");
     options.folder = line.value("folder");
     return options;
@@ -78,6 +80,10 @@
             Soak::FaultScript::drawSlowGateways(options.seed, options.faults, gateways);
         steps.insert(steps.end(), slow.begin(), slow.end());
     }
+    if (options.hasLimits) {
+        const auto limits = Soak::FaultScript::drawLimits(options.seed, options.faults, engines);
+        steps.insert(steps.end(), limits.begin(), limits.end());
+    }
     if (!options.hasGrowth)
         return steps;
     std::erase_if(steps, [&](const auto &step) {
@@ -169,6 +175,7 @@
          {"gateways", "N", "Gateway processes"},
          {"slow", "yes|no", "Also use slow processors and slow links"},
          {"growth", "yes|no", "Also use growing configurations and limited gateways"},
+         {"limits", "yes|no", "Also use engines that name a limit on requests per second"},
          {"callers", "N", "Callers, each with one request at a time"},
          {"program", "FILE", "The gateway's binary"},
          {"folder", "DIR", "For settings and logs of the gateways"}});
--- a/tests/auto/platform/soak/soakcaller.cpp
+++ b/tests/auto/platform/soak/soakcaller.cpp
@@ -22,6 +22,14 @@
 constexpr int NewConnectionPercent = 10;
 constexpr int TokensEachWay = 10;
 
+/// The engine that signed the answer; empty if none did.
+auto serverOf(const Http1::Fields &fields) -> std::string
+{
+    constexpr std::string_view prefix = "stamp-";
+    const auto stamp = fields.value("Server-Stamp").value_or("");
+    return std::string(stamp.substr(std::min(prefix.size(), stamp.size())));
+}
+
 } // namespace
 
 SoakCaller::SoakCaller(Environment surroundings, int number, std::uint64_t seed)
@@ -174,6 +182,7 @@
                        {[this](const Http1::ResponseHead &head, Http1::Framing) {
                             m_end.status = head.status;
                             m_end.isSigned = head.fields.has("Server-Stamp");
+                            m_end.server = serverOf(head.fields);
                             m_closesConnection = !head.keepAlive;
                             return true;
                         },
