acaciactl explain names the limit that a request was refused for

The cause server-limit gives the server, its limit, the limit's age and the time until the next permit, from the permit-refused line of the request. Before, such a refusal was listed as other-refusal. Test: RequestExplanation.RefusalForLackOfAPermitNamesTheServerAndItsLimit.

--- a/src/libs/explain/causecatalogue.cpp
+++ b/src/libs/explain/causecatalogue.cpp
@@ -29,6 +29,7 @@
         {"retry-budget", "the request could have been retried, but the budget was used up"},
         {"deadline-passed", "the request was sent, but its deadline passed"},
         {"server-paused", "a server that it was sent to asked for a pause in requests"},
+        {"server-limit", "the limit that the server had named left no room in time"},
         {"no-server", "no server could accept the request"},
         {"server-error", "the server itself answered with an error status"},
         {"gateway-stopping", "the gateway was stopping"},
--- a/src/libs/explain/causefinder.cpp
+++ b/src/libs/explain/causefinder.cpp
@@ -73,6 +73,10 @@
         return findLoadCause(end);
     if (outcome == "no_backend_server")
         return findNoServerCause(end);
+    if (outcome == "would_miss_deadline" && !end.failures.limitedServer.empty())
+        return {"server-limit",
+                "server " + end.failures.limitedServer + " had a limit of "
+                    + end.failures.limitText};
     if (outcome == "backend_failed" || outcome == "deadline_passed")
         return findServerFailureCause(end);
     if (outcome == "over_contract")
--- a/src/libs/explain/requestend.cpp
+++ b/src/libs/explain/requestend.cpp
@@ -15,6 +15,15 @@
     }
     if (line.event == Event::BackendPaused)
         pausedServer = line.text("server");
+    if (line.event == Event::PermitRefused) {
+        limitedServer = line.text("server");
+        const auto number = [&line](const char *name) {
+            const auto field = line.fields.find(name);
+            return field == line.fields.end() ? std::string("?") : field->dump();
+        };
+        limitText = number("perSecond") + " requests a second, named " + number("limitAgeMs")
+            + " ms before; the next permit was " + number("delayMs") + " ms away";
+    }
     if (line.event == Event::RequestRetried)
         isRetryDenied = !Utils::fieldOr(line.fields, "granted", true);
 }
--- a/src/libs/explain/requestend.h
+++ b/src/libs/explain/requestend.h
@@ -10,6 +10,8 @@
     std::string failedServer; ///< The last server whose answer broke off or was lost.
     std::chrono::milliseconds failedAt{0};
     std::string pausedServer; ///< The last server that asked for a pause.
+    std::string limitedServer; ///< The last server whose limit left no room for the request.
+    std::string limitText; ///< That limit and the time until the next permit.
     bool isRetryDenied = false; ///< The retry budget was used up.
 
     /// Adds a line of the request other than its end.
--- a/src/libs/explain/timeline.cpp
+++ b/src/libs/explain/timeline.cpp
@@ -106,6 +106,8 @@
         return;
     case Event::RequestRetried:
     case Event::StreamEnded:
+    case Event::RequestSentUnderLimit:
+    case Event::PermitRefused:
         return;
     case Event::ConfigurationTaken:
         recordVersion(line.gateway, line.number("version"),
--- a/tests/auto/explain/tst_story.cpp
+++ b/tests/auto/explain/tst_story.cpp
@@ -156,6 +156,21 @@
     EXPECT_EQ(losses["notServedByCause"]["no-server"]["count"], 1);
 }
 
+TEST(RequestExplanation, RefusalForLackOfAPermitNamesTheServerAndItsLimit)
+{
+    const auto refused = eventLine("a", 10290, Event::PermitRefused,
+                                   {{"request", "id"},
+                                    {"server", "i-1"},
+                                    {"perSecond", 1.5},
+                                    {"limitAgeMs", 400},
+                                    {"delayMs", 2600}});
+    const auto end = endLine("a", 10300, "id", "would_miss_deadline", 503);
+    EXPECT_EQ(causeOf("id", {refused, end}), "server-limit");
+    EXPECT_EQ(causeOf("id", {end}), "other-refusal");
+    const auto losses = lossesOf({refused, end});
+    EXPECT_EQ(losses["notServedByCause"]["server-limit"]["count"], 1);
+}
+
 TEST(RequestExplanation, LateAnswersHaveDistinctCauses)
 {
     const auto lateAnswerLine = [](const nlohmann::json &overrides) {
