A new number of gateways or new settings add no retries

Cause: each gateway began with a full budget of retries again whenever the number of gateways changed or the settings were read, so the fleet's retries in one window had no bound while gateways came and went. Change: budgets in use get the new limits and keep what they have saved at most. Test: Gateways.NewNumberOfGatewaysOrNewSettingsAddNoRetries failed before (7 and 8 retries instead of 5); RetryBudget.NewLimitAddsNoRetries.

--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -340,6 +340,21 @@
             requeryStore(reason, "servers", servers, serverListStaleness);
     }
 
+    /// This gateway's part of the retries that the platform allows in one window.
+    auto maxSavedRetries() const -> double
+    {
+        return std::max(1.0, settings.retrySlack * Constants::RetryBudgetUse / gatewayCount);
+    }
+
+    auto retryRatio() const -> double { return settings.retryRatio * Constants::RetryBudgetUse; }
+
+    /// Applies new limits to the budgets in use; saved retries are kept as far as they allow.
+    auto limitRetries() -> void
+    {
+        for (auto &[service, budget] : context.retryBudgets)
+            budget.setLimits(retryRatio(), maxSavedRetries());
+    }
+
     auto setGatewayCount(int count) -> void
     {
         if (count == gatewayCount)
@@ -347,7 +362,7 @@
         gatewayCount = count;
         registry.setGatewayCount(count);
         quota.setGatewayCount(count, reactor.now());
-        context.retryBudgets.clear();
+        limitRetries();
     }
 
     /// Sends a message to all other gateways, twice, as datagrams may be lost.
@@ -441,9 +456,7 @@
     auto data = std::make_unique<Private>(reactor, settings, wire);
     Private *d = data.get();
     d->context.makeRetryBudget = [d] {
-        const double share = Constants::RetryBudgetUse / d->gatewayCount;
-        return Routing::RetryBudget(d->settings.retryRatio * Constants::RetryBudgetUse,
-                                    std::max(1.0, d->settings.retrySlack * share));
+        return Routing::RetryBudget(d->retryRatio(), d->maxSavedRetries());
     };
     d->context.onLeaving = [d](const std::string &backendId, std::int64_t startedAtMs) {
         d->leavingNotifier.noteAnswer(backendId, startedAtMs);
@@ -471,7 +484,7 @@
     d->settings.stopTime = settings.stopTime;
     d->settings.retryRatio = settings.retryRatio;
     d->settings.retrySlack = settings.retrySlack;
-    d->context.retryBudgets.clear();
+    d->limitRetries();
 }
 
 auto GatewayServer::drain(const std::function<void()> &done) -> void
--- a/src/libs/routing/retrybudget.cpp
+++ b/src/libs/routing/retrybudget.cpp
@@ -23,4 +23,11 @@
     return true;
 }
 
+auto RetryBudget::setLimits(double ratio, double maxSaved) -> void
+{
+    m_ratio = ratio;
+    m_maxSaved = maxSaved;
+    m_saved = std::min(m_saved, maxSaved);
+}
+
 } // namespace Routing
--- a/src/libs/routing/retrybudget.h
+++ b/src/libs/routing/retrybudget.h
@@ -14,6 +14,8 @@
     auto noteRequest() -> void;
     /// Uses one saved retry; returns false if there is none.
     auto takeRetry() -> bool;
+    /// Changes the limits; adds no retries.
+    auto setLimits(double ratio, double maxSaved) -> void;
 
 private:
     double m_ratio;
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -95,7 +95,7 @@
         settings.storeAddress = store->address();
         settings.isFirstStart = true;
         settings.retryRatio = 0.2;
-        settings.retrySlack = 50;
+        settings.retrySlack = retrySlack;
         address = settings.callerAddress;
         readiness = settings.readinessAddress;
         peers = settings.peerAddress;
@@ -193,6 +193,7 @@
     }
 
     const std::vector<int> allEvents = {1, 2, 3, 4, 5};
+    double retrySlack = 50; ///< Retries in one window, over all gateways.
     std::unique_ptr<Net::Reactor> loop;
     std::unique_ptr<EmulatedStore> store;
     std::vector<std::unique_ptr<EmulatedEngine>> engines;
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -710,6 +710,37 @@
     EXPECT_TRUE(runUntil([&] { return done; }, 6s));
 }
 
+// Guards against a fleet that exceeds its retries together (issue 28): each gateway got a full
+// budget again whenever the number of gateways changed or the settings were read.
+TEST_F(Gateways, NewNumberOfGatewaysOrNewSettingsAddNoRetries)
+{
+    auto &first = addEngine("i-1", "app");
+    auto &second = addEngine("i-2", "app");
+    first.behaviour.losesAnswers = second.behaviour.losesAnswers = true;
+    retrySlack = 5;
+    startReadyGateway();
+    int requests = 0;
+    const auto sendLost = [&](int count) {
+        for (int i = 0; i < count; ++i)
+            sendRequest(makeRequest("/look/x", "a" + std::to_string(++requests)));
+        return static_cast<int>(first.arrivals().size() + second.arrivals().size()) - requests;
+    };
+    const int retries = sendLost(10);
+    EXPECT_GE(retries, 4);
+    EXPECT_LE(retries, 6);
+    const auto bindAddress = Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+    const auto link =
+        std::move(*Gateway::PeerLink::open(*loop, *bindAddress, [](const auto &, auto) {}));
+    link->send(peers, {{"kind", "demand"}, {"name", "g2"}, {"demand", json::array()}});
+    runUntil([] { return false; }, 100ms);
+    EXPECT_EQ(sendLost(2), retries) << "after a second gateway was heard of";
+    Gateway::GatewaySettings settings;
+    settings.retryRatio = 0.2;
+    settings.retrySlack = 5;
+    gateway->reload(settings);
+    EXPECT_EQ(sendLost(1), retries) << "after the settings were read";
+}
+
 // The holder of the placement duty is stopped and still receives demand until its process ends.
 TEST_F(Gateways, StoppedDutyHolderIgnoresDatagrams)
 {
--- a/tests/auto/routing/tst_routing.cpp
+++ b/tests/auto/routing/tst_routing.cpp
@@ -45,6 +45,24 @@
     }
 }
 
+// Guards against a fleet that exceeds its retries together (issue 28): each gateway started with a
+// full budget again whenever the number of gateways changed.
+TEST(RetryBudget, NewLimitAddsNoRetries)
+{
+    RetryBudget budget(0.1, 5);
+    for (int i = 0; i < 4; ++i)
+        EXPECT_TRUE(budget.takeRetry());
+    budget.setLimits(0.1, 20);
+    EXPECT_TRUE(budget.takeRetry());
+    EXPECT_FALSE(budget.takeRetry());
+    for (int i = 0; i < 300; ++i)
+        budget.noteRequest();
+    budget.setLimits(0.1, 2);
+    EXPECT_TRUE(budget.takeRetry());
+    EXPECT_TRUE(budget.takeRetry());
+    EXPECT_FALSE(budget.takeRetry());
+}
+
 TEST(RetryBudget, LimitsRetriesToAPartOfTheRequests)
 {
     RetryBudget budget(0.1, 5);
