Only the observer of a limit's change tells its issuers; the bound of both issuers is checked at compile time

Cause: each gateway that heard of a change from an issuer told both issuers again, so a change cost messages in proportion to twice the gateways more than needed. Test: LimitedFleet.MessagesPerGatewayAndRequestAreBounded.

--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -110,13 +110,12 @@
 /// Fraction of the fleet's retry budget that is used; the rest covers sliding windows.
 constexpr double RetryBudgetUse = 0.8;
 
-/// Limits on requests per second that backend servers name. The platform allows 1.5 times the limit
-/// in any four seconds, plus five requests. The first issuer uses the whole limit and the second
-/// one a share of it, because both may be asked at once; their permits of four seconds and one
-/// lifetime must stay within that: (4 + 0.4) * (1 + 0.35) < 4 * 1.5.
+/// Fraction of a backend server's limit on requests per second that the second issuer of permits
+/// uses. The first one uses all of it, and both may be asked at once.
 constexpr double SecondIssuerRateShare = 0.35;
-/// Permits that the first issuer issues at once after an idle time; the second one issues one.
+/// Permits that the two issuers issue at once after an idle time.
 constexpr int PermitBurst = 2;
+constexpr int SecondIssuerBurst = 1;
 /// Time after a permit's due time in which the request must be written.
 constexpr std::chrono::milliseconds PermitLifetime(400);
 /// Permits per second for a server that names a lower limit or none at all; its answers show when
--- a/src/libs/gateway/permitexchange.cpp
+++ b/src/libs/gateway/permitexchange.cpp
@@ -27,6 +27,20 @@
 const char *const ReplyKind = "permit";
 const char *const ReturnKind = "permit-return";
 
+/// The platform allows this multiple of a limit in any window, plus the slack, over all gateways.
+constexpr milliseconds LimitWindow(4000);
+constexpr double LimitTolerance = 1.5;
+constexpr int LimitSlack = 5;
+/// Permits of both issuers in one window, as a multiple of the limit in that time: both may be
+/// asked at once, and a permit may be used until its lifetime has passed.
+constexpr double WorstUse = (LimitWindow + Constants::PermitLifetime) / milliseconds(1)
+    * (1 + Constants::SecondIssuerRateShare) / (LimitWindow / milliseconds(1));
+constexpr int WorstBurst = Constants::PermitBurst + Constants::SecondIssuerBurst;
+static_assert(WorstUse <= LimitTolerance && WorstBurst <= LimitSlack);
+/// A limit of 0 allows the slack alone.
+static_assert(Constants::MinPermitRate * Utils::toSeconds(LimitWindow) * WorstUse + WorstBurst
+              <= LimitSlack);
+
 constexpr milliseconds RosterInterval(250);
 /// Messages to an issuer that stay unanswered before the second issuer is asked.
 constexpr int MaxUnansweredAsks = 2;
@@ -129,17 +143,17 @@
     if (server.empty() || !std::isfinite(limit.perSecond) || limit.perSecond < 0)
         return;
     if (m_limits.noteReport(server, limit))
-        limitChanged(server, "gateway", {}, age);
+        limitChanged(server, false, {}, age);
 }
 
 auto PermitExchange::noteAnswer(const RateLimitTable::Observation &observation,
                                 const std::string &requestId) -> void
 {
     if (m_limits.noteAnswer(observation))
-        limitChanged(observation.server, "answer", requestId, Duration::zero());
+        limitChanged(observation.server, true, requestId, Duration::zero());
 }
 
-auto PermitExchange::limitChanged(const std::string &server, const char *source,
+auto PermitExchange::limitChanged(const std::string &server, bool isOwnObservation,
                                   const std::string &requestId, Duration age) -> void
 {
     const RateLimit &limit = m_limits.all().at(server);
@@ -148,10 +162,10 @@
                      {"startedAtMs", limit.startedAtMs},
                      {"perSecond", limit.perSecond},
                      {"hasEnded", limit.hasEnded},
-                     {"source", source},
+                     {"source", isOwnObservation ? "answer" : "gateway"},
                      {"request", requestId},
                      {"ageMs", toMilliseconds(age)}});
-    spreadLimit(server);
+    spreadLimit(server, isOwnObservation);
     // Reservations were made at the former rate.
     std::vector<TicketId> reserved;
     for (const auto &[id, ticket] : m_tickets) {
@@ -163,9 +177,9 @@
     m_onChanged();
 }
 
-/// The issuers tell all gateways, and learn of it from the others: one message to each gateway per
-/// change and issuer.
-auto PermitExchange::spreadLimit(const std::string &server) -> void
+/// The gateways that observe a change tell the issuers, and those tell all gateways: one message to
+/// each gateway per change and issuer.
+auto PermitExchange::spreadLimit(const std::string &server, bool isOwnObservation) -> void
 {
     if (!isRosterKnown())
         return;
@@ -176,7 +190,7 @@
     std::vector<SocketAddress> recipients;
     if (isIssuer) {
         recipients = m_roster.others();
-    } else {
+    } else if (isOwnObservation) {
         recipients.push_back(issuers.first);
         if (issuers.second)
             recipients.push_back(*issuers.second);
@@ -419,7 +433,7 @@
     // by then.
     const TimePoint start =
         m_roster.changedAt() + PermitSchedule::FirmHorizon + Constants::PermitLifetime;
-    const int burst = isFirst ? Constants::PermitBurst : 1;
+    const int burst = isFirst ? Constants::PermitBurst : Constants::SecondIssuerBurst;
     auto &schedule = m_schedules
                          .insert_or_assign(server,
                                            Schedule{limit.startedAtMs, isFirst,
--- a/src/libs/gateway/permitexchange.h
+++ b/src/libs/gateway/permitexchange.h
@@ -111,9 +111,9 @@
     auto removeEndedLimits() -> void;
     auto limitToJson(const std::string &server, const RateLimit &limit) const -> nlohmann::json;
     auto applyReport(const nlohmann::json &message) -> void;
-    auto limitChanged(const std::string &server, const char *source, const std::string &requestId,
-                      Utils::Duration age) -> void;
-    auto spreadLimit(const std::string &server) -> void;
+    auto limitChanged(const std::string &server, bool isOwnObservation,
+                      const std::string &requestId, Utils::Duration age) -> void;
+    auto spreadLimit(const std::string &server, bool isOwnObservation) -> void;
 
     auto ask(TicketId id) -> void;
     auto chooseIssuer(const Ticket &ticket) -> std::optional<Http1::SocketAddress>;
--- a/src/libs/utils/timepoint.h
+++ b/src/libs/utils/timepoint.h
@@ -10,7 +10,7 @@
 using Duration = std::chrono::steady_clock::duration;
 
 /// Length of `duration` in seconds.
-inline auto toSeconds(Duration duration) -> double
+constexpr auto toSeconds(Duration duration) -> double
 {
     return std::chrono::duration<double>(duration).count();
 }
--- a/tests/auto/gateway/tst_permitexchange.cpp
+++ b/tests/auto/gateway/tst_permitexchange.cpp
@@ -555,6 +555,17 @@
     EXPECT_EQ(sent, 0);
 }
 
+// Guards against messages that grow with the answers or with the square of the gateways.
+TEST(LimitedFleet, MessagesPerGatewayAndRequestAreBounded)
+{
+    LimitedFleet fleet(68, 1, {0, 0, 0}, 1);
+    fleet.run(40, 20s);
+    // Each change goes from the two issuers to all, each request asks twice at most, and unused
+    // reservations are returned.
+    const int requests = fleet.outcome.served + fleet.outcome.refused;
+    EXPECT_LE(fleet.outcome.messages, 2 * 68 + 2 * 68 + 5L * requests);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, LimitedFleets,
                          testing::Values(FleetCase{4, 0.5}, FleetCase{4, 1}, FleetCase{4, 20},
                                          FleetCase{13, 1}, FleetCase{13, 3}, FleetCase{68, 1},
