Revert "Placement counts what a limited engine can serve"

What remains: a model that only a limited engine holds gets a second copy once four requests wait for it, as before.

--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -111,9 +111,6 @@
     engine.isBusy = isBusy();
     engine.copiesInMemory.insert(server.copiesInMemory.begin(), server.copiesInMemory.end());
     engine.copiesOnDisk.insert(server.copiesOnDisk.begin(), server.copiesOnDisk.end());
-    const RateLimit *limit = m_context.rateLimits.find(server.id, server.startedAtMs);
-    if (limit && !limit->hasEnded)
-        engine.rateLimit = limit->perSecond;
     return engine;
 }
 
--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -30,9 +30,6 @@
 constexpr double ExcessRateWeight = 0.35;
 /// Seconds added per request per second at an engine when engines are compared for a load.
 constexpr double RateWeight = 0.2;
-/// Added, in seconds of loading time, for an engine that has named a limit on its requests: it is
-/// in need, and a load slows it down.
-constexpr double LimitedEnginePenalty = 10;
 /// The benefit of a swap must exceed the eviction cost by this factor.
 constexpr double MinGain = 1.1;
 /// Value of the only holder of a model without demand, in requests per second.
@@ -84,13 +81,8 @@
     for (const PlannedEngine &engine : input.engines) {
         if (!engine.loadingModel.empty())
             snapshot.loadingModels.insert(engine.loadingModel);
-        for (const std::string &model : engine.models) {
+        for (const std::string &model : engine.models)
             ++snapshot.holders[model];
-            if (!engine.rateLimit)
-                continue;
-            ++snapshot.limitedHolders[model];
-            snapshot.limitedRates[model] += *engine.rateLimit;
-        }
         std::set<std::string> copied = engine.models;
         copied.insert(engine.copiesInMemory.begin(), engine.copiesInMemory.end());
         copied.insert(engine.copiesOnDisk.begin(), engine.copiesOnDisk.end());
@@ -181,21 +173,6 @@
     return candidate;
 }
 
-auto SwapPlanner::sufficientHolders(const Snapshot &snapshot, const std::string &model,
-                                    double perSecond) const -> int
-{
-    const auto holders = snapshot.holders.find(model);
-    if (holders == snapshot.holders.end())
-        return 0;
-    const auto limited = snapshot.limitedHolders.find(model);
-    if (limited == snapshot.limitedHolders.end())
-        return holders->second;
-    const int unlimited = holders->second - limited->second;
-    const bool isSufficient =
-        perSecond <= RatePerEngine * unlimited + snapshot.limitedRates.at(model);
-    return isSufficient ? holders->second : unlimited;
-}
-
 auto SwapPlanner::demandProposals(const Input &input, const Snapshot &snapshot) const
     -> std::vector<LoadProposal>
 {
@@ -204,7 +181,8 @@
         const auto model = input.description->models.find(name);
         if (model == input.description->models.end())
             continue;
-        const int held = sufficientHolders(snapshot, name, demand.perSecond);
+        const auto heldAt = snapshot.holders.find(name);
+        const int held = heldAt == snapshot.holders.end() ? 0 : heldAt->second;
         LoadProposal proposal;
         proposal.model = &model->second;
         proposal.longestWaitMs = demand.longestWaitMs;
@@ -304,8 +282,7 @@
         const auto intent = m_intents.find(engine.id);
         if (intent != m_intents.end() && intent->second.model == proposal.model->name)
             candidate->seconds -= 0.5;
-        candidate->seconds += candidate->evictionCost + RateWeight * snapshot.rates.at(engine.id)
-            + (engine.rateLimit ? LimitedEnginePenalty : 0);
+        candidate->seconds += candidate->evictionCost + RateWeight * snapshot.rates.at(engine.id);
         if (!best || candidate->seconds < best->seconds)
             best = candidate;
     }
@@ -348,8 +325,7 @@
         const auto intent = m_intents.find(engine.id);
         if (intent != m_intents.end() && intent->second.model == proposal.model->name)
             candidate->seconds -= 0.5;
-        candidate->seconds += candidate->evictionCost + RateWeight * snapshot.rates.at(engine.id)
-            + (engine.rateLimit ? LimitedEnginePenalty : 0);
+        candidate->seconds += candidate->evictionCost + RateWeight * snapshot.rates.at(engine.id);
         if (!best || candidate->seconds < best->seconds)
             best = candidate;
     }
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -33,7 +33,6 @@
     UnansweredOrders::Reserve reserve; ///< Memory that must not be used.
     std::set<std::string> copiesInMemory;
     std::set<std::string> copiesOnDisk;
-    std::optional<double> rateLimit; ///< Requests per second that the engine accepts.
 };
 
 /// An order that the planner wants to be sent now.
@@ -101,8 +100,6 @@
     struct Snapshot
     {
         std::map<std::string, int> holders; ///< Engines that hold or load a model.
-        std::map<std::string, int> limitedHolders; ///< Those of them that have a rate limit.
-        std::map<std::string, double> limitedRates; ///< Sum of their limits.
         std::map<std::string, std::vector<std::pair<double, std::string>>> victims; ///< By engine.
         std::map<std::string, double> rates; ///< Requests per second at each engine.
         double adapterReserveMb = 0;
@@ -115,9 +112,6 @@
     auto evaluate(const Input &input, const Snapshot &snapshot, const PlannedEngine &engine,
                   const ModelDescription &model, double benefit) const -> std::optional<Candidate>;
     auto makeSnapshot(const Input &input) const -> Snapshot;
-    /// Engines that hold a model, without those with a limit if they can't serve their part.
-    auto sufficientHolders(const Snapshot &snapshot, const std::string &model,
-                           double perSecond) const -> int;
     auto demandProposals(const Input &input, const Snapshot &snapshot) const
         -> std::vector<LoadProposal>;
     auto prefetchProposals(const Input &input, const Snapshot &snapshot) const
