--- a/tests/auto/gateway/tst_permitexchange.cpp
+++ b/tests/auto/gateway/tst_permitexchange.cpp
@@ -114,7 +114,7 @@
             callAfter(uniform(1000ms), [&other, index] { other.hidden.erase(index); });
     }
 
-    /// Stops a gateway for a while; its timers and messages are handled afterwards.
+    /// Stops a gateway for a while: it sends nothing, and handles what it receives afterwards.
     auto freeze(size_t index, Duration time) -> void
     {
         Member &member = m_members[index];
