Logs show when the store came back from a copy, and each order's holder

The store's client decodes the era of each answer and logs its change; a value that is no whole number is logged and has no effect. order-answered names the holder. No decision uses either yet.

--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -159,6 +159,7 @@
                          {"adapter", order.adapter},
                          {"status", status},
                          {"expected", *order.expectedOrders},
+                         {"holder", order.holder},
                          {"fence", order.fence}});
         if (result != OrderResult::Unknown)
             m_events.onOrderAnswered(order);
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -35,6 +35,8 @@
     RateLimitChanged = 215,
     RateLimitRejected = 216,
     PermitUnanswered = 217,
+    StoreEraChanged = 218,
+    StoreEraRejected = 219,
     RequestRefused = 300,
     RequestServed = 301,
     RequestRetried = 302,
