--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -93,7 +93,7 @@
         settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.metricsAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.storeAddress = store->address();
-        settings.isFirstStart = true;
+        settings.isFirstStart = isFirstStart;
         settings.retryRatio = 0.2;
         settings.retrySlack = retrySlack;
         address = settings.callerAddress;
@@ -193,6 +193,7 @@
     }
 
     const std::vector<int> allEvents = {1, 2, 3, 4, 5};
+    bool isFirstStart = true;
     double retrySlack = 50; ///< Retries in one window, over all gateways.
     std::unique_ptr<Net::Reactor> loop;
     std::unique_ptr<EmulatedStore> store;
