--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -202,6 +202,8 @@
         metrics.set("acacia_configuration_version",
                     context.configuration ? double(context.configuration->version) : 0);
         metrics.set("acacia_configuration_age_seconds", age ? Utils::toSeconds(*age) : -1);
+        metrics.set("acacia_store_era",
+                    static_cast<double>(configurationFollower->completeVersion().era));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
     }
--- a/src/libs/monitoring/metrics.cpp
+++ b/src/libs/monitoring/metrics.cpp
@@ -32,6 +32,8 @@
          "Version of the configuration in force at this gateway."},
         {"acacia_configuration_age_seconds", "gauge",
          "Time since the store last confirmed that configuration; -1 before the first time."},
+        {"acacia_store_era", "gauge",
+         "How often the platform's store has come back from a copy, as it says."},
         {"acacia_loop_delay_seconds", "gauge",
          "Longest time that the event loop stood still since the last scrape."},
         {"acacia_store_reads_total", "counter",
