An answer that arrives slowly ends the other queries for its table

Now RowStore::abandon gives the others up once one answer has been arriving for 50 ms; its end triggers the next query. Weighed: giving up at the first byte, which would end the long poll beside each small answer.

--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -17,6 +17,9 @@
 /// reported at once.
 constexpr std::chrono::milliseconds ServerListLagMargin(100);
 constexpr std::chrono::milliseconds ConfigurationLagTimeout(300);
+/// An answer whose transfer takes longer than this has the link to itself: other pending queries
+/// for the same table are given up.
+constexpr std::chrono::milliseconds MinSlowTransferTime(50);
 /// Initial and longest delay before a failed query is retried. Refused calls are billed too, and a
 /// change must be known two seconds after it was made.
 constexpr std::chrono::milliseconds InitialRetryDelay(100);
--- a/src/libs/gateway/rowstore.h
+++ b/src/libs/gateway/rowstore.h
@@ -47,15 +47,21 @@
     using WriteCallback =
         std::function<void(const Utils::Result<Utils::StoreVersion, StoreError> &)>;
 
+    /// Names a pending call.
+    using CallId = std::uint64_t;
+
     virtual ~RowStore() = default;
     /// Lists the rows of a table from key `from` on.
     virtual auto list(const std::string &table, const std::string &from, ProgressCallback progress,
-                      RowsCallback done) -> void = 0;
+                      RowsCallback done) -> CallId = 0;
     /// Long poll: returns the changes after a version as soon as there are any, or nothing once
     /// `wait` has passed. An answer of another era than that of `after` lacks changes.
     virtual auto changes(const std::string &table, const Utils::StoreVersion &after,
                          std::chrono::milliseconds wait, ProgressCallback progress,
-                         RowsCallback done) -> void = 0;
+                         RowsCallback done) -> CallId = 0;
+    /// Stops the transfer of a call's answer; its callbacks are not called any more. Does nothing
+    /// if the call has ended.
+    virtual auto abandon(CallId call) -> void = 0;
     /// Writes a row if it still has the number of `expectedVersion`, in whichever era.
     virtual auto write(const std::string &table, const std::string &key,
                        const Utils::StoreVersion &expectedVersion, const std::string &value,
--- a/src/libs/gateway/tablefollower.cpp
+++ b/src/libs/gateway/tablefollower.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
@@ -23,12 +25,14 @@
     std::chrono::milliseconds wait = Constants::LongPollTimeout;
     bool isConfirmation = false; ///< An additional query, whose answer never triggers the next one.
     Utils::StoreVersion after; ///< Changes were requested after this version.
+    RowStore::CallId call = 0;
+    std::optional<Utils::TimePoint> transferBegan; ///< When the first part of its answer arrived.
 };
 
 /// A read of the whole table, page by page.
 struct TableRead
 {
-    Query query;
+    std::shared_ptr<Query> query;
     std::vector<Row> rows;
     Utils::StoreVersion version; ///< Version of the first page; later changes are polled from it.
 };
@@ -45,6 +49,7 @@
     Utils::StoreVersion version;
     Utils::StoreVersion newestRowVersion;
     std::uint64_t newestQuery = 0;
+    std::vector<std::shared_ptr<Query>> pendingQueries;
     Utils::TimePoint lastProgressAt; ///< When the latest part of a pending answer arrived.
     Utils::Duration responseTime{0};
     bool connected = false;
@@ -56,14 +61,14 @@
 
     auto sendQuery(bool isImmediate) -> void
     {
-        Query query;
-        query.number = ++newestQuery;
-        query.sentAt = scheduler->now();
-        query.isImmediate = isImmediate;
+        const auto query = std::make_shared<Query>();
+        query->number = ++newestQuery;
+        query->sentAt = scheduler->now();
+        query->isImmediate = isImmediate;
         // The version that is polled from may be the newest one of another era as well, in which
         // case a long poll would hide the new era.
         if (isImmediate || !connected)
-            query.wait = std::chrono::milliseconds(0);
+            query->wait = std::chrono::milliseconds(0);
         if (needsFullRead)
             readPage(std::make_shared<TableRead>(TableRead{query, {}, {}}), {});
         else
@@ -74,11 +79,11 @@
     {
         if (needsFullRead || scheduler->now() - lastProgressAt < Constants::ConfigurationLagTimeout)
             return;
-        Query query;
-        query.sentAt = scheduler->now();
-        query.isImmediate = true;
-        query.wait = std::chrono::milliseconds(0);
-        query.isConfirmation = true;
+        const auto query = std::make_shared<Query>();
+        query->sentAt = scheduler->now();
+        query->isImmediate = true;
+        query->wait = std::chrono::milliseconds(0);
+        query->isConfirmation = true;
         queryChanges(query);
     }
 
@@ -91,33 +96,65 @@
         });
     }
 
-    auto progressCallback() -> RowStore::ProgressCallback
+    auto progressCallback(const std::shared_ptr<Query> &query) -> RowStore::ProgressCallback
     {
-        return [weak = weak_from_this()] {
+        return [weak = weak_from_this(), query] {
             if (const auto self = weak.lock())
-                self->lastProgressAt = self->scheduler->now();
+                self->handleProgress(query);
         };
     }
 
+    auto handleProgress(const std::shared_ptr<Query> &query) -> void
+    {
+        const auto now = scheduler->now();
+        lastProgressAt = now;
+        if (!query->transferBegan)
+            query->transferBegan = now;
+        if (now - *query->transferBegan >= Constants::MinSlowTransferTime)
+            abandonOtherQueries(query);
+    }
+
+    /// On a slow link the answers to all queries share the bandwidth, and most contain the same.
+    /// Only the one whose transfer began first is kept; its end triggers the next query.
+    auto abandonOtherQueries(const std::shared_ptr<Query> &kept) -> void
+    {
+        if (pendingQueries.size() < 2)
+            return;
+        for (const auto &query : std::exchange(pendingQueries, {kept})) {
+            if (query != kept)
+                store->abandon(query->call);
+        }
+        kept->isConfirmation = false;
+        kept->number = ++newestQuery;
+    }
+
+    auto removePending(const std::shared_ptr<Query> &query) -> void
+    {
+        std::erase(pendingQueries, query);
+        lastProgressAt = {};
+    }
+
     auto readPage(const std::shared_ptr<TableRead> &tableRead, const std::string &from) -> void
     {
-        store->list(table, from, progressCallback(),
-                    [self = shared_from_this(), tableRead](const auto &answer) {
-                        if (!self->stopped)
-                            self->handlePage(tableRead, answer);
-                    });
+        const auto &query = tableRead->query;
+        pendingQueries.push_back(query);
+        query->call = store->list(table, from, progressCallback(query),
+                                  [self = shared_from_this(), tableRead](const auto &answer) {
+                                      if (!self->stopped)
+                                          self->handlePage(tableRead, answer);
+                                  });
     }
 
     auto handlePage(const std::shared_ptr<TableRead> &tableRead,
                     const Utils::Result<RowSet, StoreError> &answer) -> void
     {
-        lastProgressAt = {};
+        removePending(tableRead->query);
         if (!answer)
-            return handleError(tableRead->query, answer.error());
+            return handleError(*tableRead->query, answer.error());
         handleSuccess();
         if (tableRead->rows.empty())
             tableRead->version = answer->version;
-        const bool isNewest = tableRead->query.number == newestQuery;
+        const bool isNewest = tableRead->query->number == newestQuery;
         if (answer->version.era != tableRead->version.era) {
             if (isNewest)
                 sendQuery(false);
@@ -126,9 +163,9 @@
         tableRead->rows.insert(tableRead->rows.end(), answer->rows.begin(), answer->rows.end());
         if (answer->hasMore && !answer->rows.empty())
             return readPage(tableRead, answer->rows.back().key + '\0');
-        responseTime = scheduler->now() - tableRead->query.sentAt;
+        responseTime = scheduler->now() - tableRead->query->sentAt;
         const bool isApplied = handleTableRead(*tableRead);
-        if (stopped || tableRead->query.number != newestQuery)
+        if (stopped || tableRead->query->number != newestQuery)
             return;
         if (isApplied)
             sendQuery(false);
@@ -152,7 +189,7 @@
             caughtUp = true;
             events.onCaughtUp();
         }
-        events.onConfirmed(tableRead.query.sentAt);
+        events.onConfirmed(tableRead.query->sentAt);
         return true;
     }
 
@@ -179,19 +216,21 @@
         }
     }
 
-    auto queryChanges(Query query) -> void
+    auto queryChanges(const std::shared_ptr<Query> &query) -> void
     {
-        query.after = version;
-        store->changes(table, version, query.wait, progressCallback(),
-                       [self = shared_from_this(), query](const auto &answer) {
-                           if (!self->stopped)
-                               self->handleChanges(query, answer);
-                       });
+        query->after = version;
+        pendingQueries.push_back(query);
+        query->call = store->changes(table, version, query->wait, progressCallback(query),
+                                     [self = shared_from_this(), query](const auto &answer) {
+                                         if (self->stopped)
+                                             return;
+                                         self->removePending(query);
+                                         self->handleChanges(*query, answer);
+                                     });
     }
 
     auto handleChanges(const Query &query, const Utils::Result<RowSet, StoreError> &answer) -> void
     {
-        lastProgressAt = {};
         const bool isNewest = query.number == newestQuery;
         if (!answer && answer.error() == StoreError::HistoryGone) {
             if (isNewest || (query.isConfirmation && !needsFullRead)) {
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -487,3 +487,19 @@
         RC_ASSERT(std::is_sorted(fixture.appliedVersions.begin(), fixture.appliedVersions.end()));
     }));
 }
+
+// A transfer that stops in the middle must not keep its successors from being used: only an answer
+// that arrives ends the other queries.
+TEST(TableFollower, StalledTransferIsReplaced)
+{
+    FollowerFixture fixture;
+    fixture.store.put("config", "0");
+    fixture.start();
+    fixture.advance(2s);
+    fixture.store.transferTime = 1s;
+    fixture.store.put("config", "1");
+    fixture.advance(300ms);
+    fixture.store.stallTransfers();
+    fixture.advance(2400ms + 1s + 100ms);
+    EXPECT_TRUE(fixture.isCurrent());
+}
--- a/tests/auto/shared/slowrowstore.h
+++ b/tests/auto/shared/slowrowstore.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,12 @@
         for (const auto &[id, poll] : std::exchange(m_longPolls, {}))
             poll.done(tl::unexpected(Gateway::StoreError::Unavailable));
     }
+    /// The answers that are being transferred never arrive.
+    auto stallTransfers() -> void
+    {
+        for (const Transfer &transfer : std::exchange(m_transfers, {}))
+            m_abandoned.insert(transfer.call);
+    }
     auto version() const -> Utils::StoreVersion { return {m_era, m_version}; }
     /// The rows that were written before `at` and not again in the era that was in force then.
     auto rowsBefore(Utils::TimePoint at) const -> std::vector<Gateway::Row>
@@ -78,39 +85,55 @@
         return result;
     }
     auto rows() const -> const std::map<std::string, Gateway::Row> & { return m_rows; }
-    auto calls() const -> int { return m_calls; }
+    auto calls() const -> int { return static_cast<int>(m_calls); }
 
     auto list(const std::string &, const std::string &from, ProgressCallback progress,
-              RowsCallback done) -> void override
+              RowsCallback done) -> CallId override
     {
-        ++m_calls;
-        if (dropsQueries)
-            return failAfterTimeout(std::chrono::milliseconds(0), std::move(done));
+        const CallId call = ++m_calls;
+        if (dropsQueries) {
+            failAfterTimeout(call, std::chrono::milliseconds(0), std::move(done));
+            return call;
+        }
         Gateway::RowSet set;
         for (auto it = m_rows.lower_bound(from); it != m_rows.end(); ++it)
             set.rows.push_back(it->second);
         set.version = version();
-        answer(std::move(set), std::move(progress), std::move(done));
+        answer(call, std::move(set), std::move(progress), std::move(done));
+        return call;
     }
 
     auto changes(const std::string &, const Utils::StoreVersion &after,
                  std::chrono::milliseconds wait, ProgressCallback progress, RowsCallback done)
-        -> void override
+        -> CallId override
     {
-        ++m_calls;
-        if (dropsQueries)
-            return failAfterTimeout(wait, std::move(done));
+        const CallId call = ++m_calls;
+        if (dropsQueries) {
+            failAfterTimeout(call, wait, std::move(done));
+            return call;
+        }
         if (isHistoryGone || after.number > m_version) {
-            m_scheduler.callAfter(answerTime, [done = std::move(done)] {
-                done(tl::unexpected(Gateway::StoreError::HistoryGone));
+            m_scheduler.callAfter(answerTime, [this, call, done = std::move(done)] {
+                if (!isAbandoned(call))
+                    done(tl::unexpected(Gateway::StoreError::HistoryGone));
             });
-            return;
+            return call;
+        }
+        if (m_version > after.number) {
+            answer(call, changesAfter(after.number), std::move(progress), std::move(done));
+            return call;
         }
-        if (m_version > after.number)
-            return answer(changesAfter(after.number), std::move(progress), std::move(done));
-        const int id = m_nextLongPollId++;
-        m_longPolls[id] = {after.number, std::move(progress), std::move(done)};
-        m_scheduler.callAfter(wait, [this, id] { answerLongPoll(id); });
+        m_longPolls[call] = {after.number, std::move(progress), std::move(done)};
+        m_scheduler.callAfter(wait, [this, call] { answerLongPoll(call); });
+        return call;
+    }
+
+    auto abandon(CallId call) -> void override
+    {
+        m_abandoned.insert(call);
+        m_longPolls.erase(call);
+        std::erase_if(m_transfers,
+                      [call](const Transfer &transfer) { return transfer.call == call; });
     }
 
     auto write(const std::string &, const std::string &, const Utils::StoreVersion &,
@@ -140,6 +163,7 @@
 
     struct Transfer
     {
+        CallId call = 0;
         Utils::Duration remaining;
         ProgressCallback progress;
         std::function<void()> deliver;
@@ -156,16 +180,21 @@
         return set;
     }
 
-    auto answer(Gateway::RowSet set, ProgressCallback progress, RowsCallback done) -> void
+    auto isAbandoned(CallId call) const -> bool { return m_abandoned.count(call) > 0; }
+
+    auto answer(CallId call, Gateway::RowSet set, ProgressCallback progress, RowsCallback done)
+        -> void
     {
         const auto transfer = set.rows.empty() ? std::chrono::milliseconds(0) : transferTime;
         m_scheduler.callAfter(
             answerTime,
-            [this, transfer, set = std::move(set), progress = std::move(progress),
+            [this, call, transfer, set = std::move(set), progress = std::move(progress),
              done = std::move(done)] {
+                if (isAbandoned(call))
+                    return;
                 if (transfer == std::chrono::milliseconds(0))
                     return done(set);
-                m_transfers.push_back({transfer, progress, [set, done] { done(set); }});
+                m_transfers.push_back({call, transfer, progress, [set, done] { done(set); }});
                 if (m_transfers.size() == 1)
                     m_scheduler.callAfter(transferStep, [this] { advanceTransfers(); });
             });
@@ -174,19 +203,23 @@
     /// Advances each pending answer by its share of the link.
     auto advanceTransfers() -> void
     {
-        const auto share = Utils::Duration(transferStep) / m_transfers.size();
+        const auto share = Utils::Duration(transferStep) / std::max<size_t>(m_transfers.size(), 1);
         std::vector<std::function<void()>> arrived;
+        std::vector<ProgressCallback> progressed;
         for (auto it = m_transfers.begin(); it != m_transfers.end();) {
             it->remaining -= share;
             if (it->remaining > Utils::Duration::zero()) {
                 if (it->progress)
-                    it->progress();
+                    progressed.push_back(it->progress);
                 ++it;
                 continue;
             }
             arrived.push_back(std::move(it->deliver));
             it = m_transfers.erase(it);
         }
+        // Any of these may abandon other calls.
+        for (const auto &progress : progressed)
+            progress();
         if (!m_transfers.empty())
             m_scheduler.callAfter(transferStep, [this] { advanceTransfers(); });
         for (const auto &deliver : arrived)
@@ -194,19 +227,20 @@
     }
 
     /// Fails the call after the client's timeout, as it gets no answer.
-    auto failAfterTimeout(std::chrono::milliseconds wait, RowsCallback done) -> void
+    auto failAfterTimeout(CallId call, std::chrono::milliseconds wait, RowsCallback done) -> void
     {
         constexpr std::chrono::milliseconds clientTimeout(1500);
-        m_scheduler.callAfter(wait + clientTimeout, [done = std::move(done)] {
-            done(tl::unexpected(Gateway::StoreError::Unavailable));
+        m_scheduler.callAfter(wait + clientTimeout, [this, call, done = std::move(done)] {
+            if (!isAbandoned(call))
+                done(tl::unexpected(Gateway::StoreError::Unavailable));
         });
     }
 
-    auto answerLongPoll(int id) -> void
+    auto answerLongPoll(CallId call) -> void
     {
-        auto node = m_longPolls.extract(id);
+        auto node = m_longPolls.extract(call);
         if (!node.empty())
-            answer(changesAfter(node.mapped().after), std::move(node.mapped().progress),
+            answer(call, changesAfter(node.mapped().after), std::move(node.mapped().progress),
                    std::move(node.mapped().done));
     }
 
@@ -223,8 +257,8 @@
     std::vector<Gateway::Row> m_history;
     std::map<Utils::TimePoint, std::uint64_t> m_writtenAt;
     std::vector<EndedEra> m_endedEras;
-    std::map<int, LongPoll> m_longPolls;
+    std::map<CallId, LongPoll> m_longPolls;
+    std::set<CallId> m_abandoned;
     std::vector<Transfer> m_transfers; ///< Answers being transferred.
-    int m_nextLongPollId = 1;
-    int m_calls = 0;
+    CallId m_calls = 0;
 };
