--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -6,6 +6,13 @@
 using Utils::StoreVersion;
 using Utils::TimePoint;
 
+namespace {
+
+/// Highest era of a store that may be new, depending on where it begins to count.
+constexpr auto LastEraOfNewStore = StoreEra(1);
+
+} // namespace
+
 LeaderLease::LeaderLease(std::string holder, const LeaseTiming &timing)
     : m_holder(std::move(holder))
     , m_timing(timing)
@@ -29,29 +36,35 @@
     if (!isMissing && m_row.holder == m_holder && m_row.writtenIn == m_era)
         return true;
     const auto timeout =
-        isMissing && !m_wasRowSeen ? m_timing.missingRowTimeout : m_timing.takeoverTimeout;
+        isMissing && !m_mayHaveBeenHeld ? m_timing.missingRowTimeout : m_timing.takeoverTimeout;
     return now - m_rowChangedAt >= timeout;
 }
 
 auto LeaderLease::handleEra(StoreEra era, TimePoint now) -> void
 {
-    if (era <= m_era)
+    if (m_isEraKnown && era <= m_era)
         return;
-    // The first era that a process learns of is no news: it has not seen any row before.
-    const bool isFirst = m_era == StoreEra() && !m_rowIsKnown && !m_wasRowSeen;
+    m_isEraKnown = true;
     m_era = era;
-    if (isFirst)
-        return;
     if (isHeld(now))
         m_continuableUntil = *m_renewedAt + m_timing.holdTimeout;
     forgetProof();
     m_row = {{}, {era, 0}, era};
     m_rowIsKnown = false;
-    m_wasRowSeen = true;
+    m_mayHaveBeenHeld = true;
     m_rowChangedAt = now;
     m_nextStepAt = now;
 }
 
+auto LeaderLease::learnEra(StoreEra era, TimePoint now) -> void
+{
+    if (m_isEraKnown)
+        return handleEra(era, now);
+    m_isEraKnown = true;
+    m_era = era;
+    m_mayHaveBeenHeld = era > LastEraOfNewStore;
+}
+
 auto LeaderLease::isOutdated(const LeaseRow &row) const -> bool
 {
     return row.version.era < m_era;
@@ -75,13 +88,13 @@
     m_rowIsKnown = true;
     if (now < m_continuableUntil)
         m_nextStepAt = now;
-    m_wasRowSeen = m_wasRowSeen || row.version.number > 0;
+    m_mayHaveBeenHeld = m_mayHaveBeenHeld || row.version.number > 0;
 }
 
 auto LeaderLease::handleRow(const LeaseRow &row, TimePoint now) -> void
 {
     m_isRequestPending = false;
-    handleEra(row.version.era, now);
+    learnEra(row.version.era, now);
     if (!isOutdated(row))
         applyRow(row, now);
 }
@@ -102,12 +115,12 @@
                                 TimePoint now) -> void
 {
     m_isRequestPending = false;
-    handleEra(version.era, now);
+    learnEra(version.era, now);
     // The condition may have matched a version that was given out again.
     if (sentIn != m_era || version.era != m_era)
         return handleFailure();
     m_row = {m_holder, version, m_era};
-    m_wasRowSeen = true;
+    m_mayHaveBeenHeld = true;
     m_rowChangedAt = sentAt;
     m_renewedAt = sentAt;
     m_continuableUntil = {};
--- a/src/libs/membership/leaderlease.h
+++ b/src/libs/membership/leaderlease.h
@@ -34,8 +34,8 @@
     Utils::Duration renewInterval = Constants::RenewInterval;
     Utils::Duration holdTimeout = Constants::HoldTimeout;
     Utils::Duration takeoverTimeout = Constants::TakeoverTimeout;
-    /// How long a row must have been missing that was never seen; 0 if there can't have been a
-    /// holder before.
+    /// How long a row must have been missing that was never seen, in a store that may be new; 0 if
+    /// there can't have been a holder before.
     Utils::Duration missingRowTimeout{0};
 };
 
@@ -55,7 +55,7 @@
     auto handleRow(const LeaseRow &row, Utils::TimePoint now) -> void;
     /// Handles a row that another process has reported.
     auto handleReport(const LeaseRow &row, Utils::TimePoint now) -> void;
-    /// The store is in that era; renewals made in earlier ones prove nothing.
+    /// The store was in another era before; renewals made then prove nothing.
     auto handleEra(Utils::StoreEra era, Utils::TimePoint now) -> void;
     /// Row version that a write requires.
     auto expectedVersion() const -> Utils::StoreVersion;
@@ -77,6 +77,7 @@
     auto tenure() const -> Utils::StoreVersion;
 
 private:
+    auto learnEra(Utils::StoreEra era, Utils::TimePoint now) -> void;
     auto mayWrite(Utils::TimePoint now) const -> bool;
     auto isOutdated(const LeaseRow &row) const -> bool;
     auto forgetProof() -> void;
@@ -87,7 +88,8 @@
     Utils::StoreEra m_era{};
     LeaseRow m_row;
     bool m_rowIsKnown = false;
-    bool m_wasRowSeen = false; ///< Or a new era, in which a row may be missing that was there.
+    bool m_isEraKnown = false;
+    bool m_mayHaveBeenHeld = false; ///< A row was seen, or may have been lost.
     bool m_isRequestPending = false;
     Utils::TimePoint m_rowChangedAt;
     Utils::TimePoint m_nextStepAt;
--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -268,3 +268,36 @@
     lease.handleRow({{}, {StoreEra(1), 0}, StoreEra(1)}, now + 2s);
     EXPECT_EQ(lease.tick(now + Constants::TakeoverTimeout), LeaseStep::Write);
 }
+
+// Guards against two holders (issue 32, review): the store comes back from a copy without the
+// lease's row while the whole system starts for the first time, and a process that starts then
+// takes the missing row for a lease that nobody has held.
+TEST(LeaderLease, FirstStartInALaterEraIsNoProofOfAFreeLease)
+{
+    constexpr auto era1 = StoreEra(1);
+    constexpr auto era2 = StoreEra(2);
+    const auto now = TimePoint() + std::chrono::hours(1);
+    const LeaseTiming timing = {500ms, 1200ms, 4700ms, 0ms};
+    LeaderLease holder("a", timing);
+    holder.handleRow({{}, {era1, 0}, era1}, now);
+    ASSERT_EQ(holder.tick(now), LeaseStep::Write);
+    holder.handleWritten({era1, 5}, era1, now, now);
+    // The store returns to a copy without the row. The holder doesn't know yet.
+    LeaderLease other("b", timing);
+    ASSERT_EQ(other.tick(now + 300ms), LeaseStep::Read);
+    other.handleRow({{}, {era2, 0}, era2}, now + 300ms);
+    ASSERT_TRUE(holder.isHeld(now + 1s));
+    EXPECT_EQ(other.tick(now + 1s), LeaseStep::Read);
+}
+
+// The same for a process that has followed another table in the earlier era.
+TEST(LeaderLease, EraLearnedBeforeTheFirstReadIsNews)
+{
+    constexpr auto era2 = StoreEra(2);
+    const auto now = TimePoint() + std::chrono::hours(1);
+    LeaderLease lease("b");
+    // Called only if the store had another era when this process read from it first.
+    lease.handleEra(era2, now);
+    lease.handleRow({{}, {era2, 0}, era2}, now);
+    EXPECT_EQ(lease.tick(now + 1s), LeaseStep::Read);
+}
