--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -88,6 +88,7 @@
     std::map<std::string, Utils::StoreVersion> rowVersions; ///< Of the gateways' rows, by name.
     std::set<std::string> registering; ///< Gateways whose rows are being written.
     bool isRosterRead = false; ///< Since the lease was acquired.
+    std::optional<Utils::StoreEra> knownEra; ///< The newest one, whichever answer named it first.
     /// The store may lack gateways' rows until they have reported again.
     TimePoint rosterIsCompleteAt;
     int announcedGateways = 0; ///< By the lease holder.
@@ -105,6 +106,7 @@
     auto createLease() -> void
     {
         PlacementLease::Events events;
+        events.onAnswer = [this](Utils::StoreEra era) { noteEra(era); };
         events.onOtherHolder = [this](const Http1::SocketAddress &address) {
             holder = address;
             resetHolderState();
@@ -144,6 +146,7 @@
                 });
                 return;
             }
+            self->noteEra(answer->version.era);
             self->handleRows(*answer);
         });
     }
@@ -230,12 +233,21 @@
         });
     }
 
+    /// The store has answered in that era. The first one is no news.
+    auto noteEra(Utils::StoreEra era) -> void
+    {
+        if (knownEra)
+            return handleStoreEra(era);
+        knownEra = era;
+    }
+
     /// A holder whose lease is still valid renews it and keeps what it knows of the engines;
     /// another holder's rows may be lost.
     auto handleStoreEra(Utils::StoreEra era) -> void
     {
-        if (stopped)
+        if (stopped || (knownEra && era <= *knownEra))
             return;
+        knownEra = era;
         if (!lease->isHeld())
             resetHolderState();
         rosterIsCompleteAt = now() + Constants::GatewaySilenceTimeout;
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -48,6 +48,7 @@
         self->noteStoreAvailability(answer.has_value());
         if (!answer)
             return self->m_lease.handleFailure();
+        self->m_events.onAnswer(answer->version.era);
         for (const Row &row : answer->rows) {
             if (row.key == Key)
                 return self->handleRow(row);
@@ -66,6 +67,7 @@
                       if (self->m_isStopped)
                           return;
                       if (answer) {
+                          self->m_events.onAnswer(answer->era);
                           self->m_lease.handleWritten(*answer, era, sentAt, Utils::bootTime());
                           self->noteStoreAvailability(true);
                       } else {
--- a/src/libs/gateway/placementlease.h
+++ b/src/libs/gateway/placementlease.h
@@ -18,6 +18,8 @@
 public:
     struct Events
     {
+        /// An answer of the store arrived; called before the lease uses it.
+        std::function<void(Utils::StoreEra)> onAnswer;
         /// The row names another gateway.
         std::function<void(const Http1::SocketAddress &)> onOtherHolder;
         std::function<void()> onStoreRecovered; ///< The store answers again after an outage.
--- a/tests/auto/platform/tst_storecopy.cpp
+++ b/tests/auto/platform/tst_storecopy.cpp
@@ -167,3 +167,59 @@
     EXPECT_GE(next->at - lastOrder.at, 3s);
     EXPECT_GT(next->fence, lastOrder.fence);
 }
+
+// Guards against a customer's quota being exceeded (issue 32, review): the lease learns of the new
+// era before the followers do, and the holder counts only the gateways whose rows the copy has.
+TEST_F(StoreBackFromACopy, GatewayWhoseRowIsLostStillCounts)
+{
+    startGateways(1);
+    const auto holder = peers;
+    const auto copiedAt = loop->now();
+    wait(100ms);
+    int counted = 0;
+    struct Peer
+    {
+        std::string name;
+        std::unique_ptr<Gateway::PeerLink> link;
+    };
+    std::vector<Peer> others;
+    for (const char *name : {"g1", "g2"}) {
+        const auto own = Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        others.push_back(
+            {name,
+             std::move(*Gateway::PeerLink::open(*loop, *own, [&counted](const json &message, auto) {
+                 if (message["kind"] == Gateway::HolderMessage::Kind)
+                     counted = Gateway::HolderMessage::fromJson(message).gateways;
+             }))});
+    }
+    const auto report = [&](const Peer &peer) {
+        Gateway::DemandMessage message;
+        message.name = peer.name;
+        message.demand = json::array();
+        message.seen.configurationRow = {Utils::StoreEra(1), 1};
+        peer.link->send(holder, message.toJson());
+    };
+    for (int i = 0; i < 4; ++i) {
+        for (const Peer &peer : others)
+            report(peer);
+        wait(250ms);
+    }
+    ASSERT_EQ(counted, 3);
+    // From here on g2 is cut off from the holder. Its part of the quotas lasts for some seconds.
+    const auto keepReporting = [&](std::chrono::milliseconds time) {
+        for (auto left = time; left > 0ms; left -= 50ms) {
+            report(others[0]);
+            wait(50ms);
+        }
+    };
+    store->setListDelay("op", 800ms);
+    const auto renewed = store->version();
+    ASSERT_TRUE(runUntil([&] { return store->version() != renewed; }));
+    store->setMode(EmulatedStore::Mode::Busy);
+    store->restoreCopy(
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - copiedAt));
+    keepReporting(750ms);
+    store->setMode(EmulatedStore::Mode::Normal);
+    keepReporting(1500ms);
+    EXPECT_EQ(counted, 3);
+}
