--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -80,7 +80,7 @@
                         {{"what", "server"}, {"server", row.key}, {"reason", server.error()}});
         return;
     }
-    if (m_isReadingCopy && isEndedInCopy(*server))
+    if (m_isReadingCopy && isEndedInCopy(*server, row.version))
         return;
     m_expired.erase(row.key);
     const BackendServer *known = m_context.board.find(row.key);
@@ -113,10 +113,13 @@
     }
 }
 
-auto BackendFollower::isEndedInCopy(const BackendServer &server) const -> bool
+/// A copy holds the rows of the eras before it, so its numbers can be compared with theirs.
+auto BackendFollower::isEndedInCopy(const BackendServer &server,
+                                    const Utils::StoreVersion &row) const -> bool
 {
-    return std::any_of(m_ended.begin(), m_ended.end(), [&server](const EndedServer &ended) {
-        return ended.id == server.id && ended.startedAtMs >= server.startedAtMs;
+    return std::any_of(m_ended.begin(), m_ended.end(), [&](const EndedServer &ended) {
+        return ended.id == server.id && ended.startedAtMs >= server.startedAtMs
+            && row.number <= ended.removedAt;
     });
 }
 
@@ -124,7 +127,7 @@
                              const Utils::StoreVersion &version) -> void
 {
     if (const BackendServer *server = m_context.board.find(id)) {
-        m_ended.push_back({id, server->startedAtMs});
+        m_ended.push_back({id, server->startedAtMs, version.number});
         if (m_ended.size() > MaxEndedServers)
             m_ended.pop_front();
     }
--- a/src/libs/gateway/backendfollower.h
+++ b/src/libs/gateway/backendfollower.h
@@ -43,11 +43,13 @@
     {
         std::string id;
         std::int64_t startedAtMs = 0;
+        std::uint64_t removedAt = 0; ///< Number of the store's version then.
     };
 
     auto handleEraChanged() -> void;
     auto handleRow(const Row &row) -> void;
-    auto isEndedInCopy(const BackendServer &server) const -> bool;
+    /// True if the copy's row is from before the server's end.
+    auto isEndedInCopy(const BackendServer &server, const Utils::StoreVersion &row) const -> bool;
     auto remove(const std::string &id, bool hasLapsed, const Utils::StoreVersion &version) -> void;
     auto removeIfStillExpired(const std::string &id) -> void;
 
--- a/tests/auto/platform/tst_storecopy.cpp
+++ b/tests/auto/platform/tst_storecopy.cpp
@@ -223,3 +223,25 @@
     keepReporting(1500ms);
     EXPECT_EQ(counted, 3);
 }
+
+// Guards against a server that is never used (issue 32, review): it was taken for ended, registered
+// again while the store was out of reach, and the copy has that row.
+TEST_F(StoreBackFromACopy, ServerThatRegisteredAgainBeforeTheCopyIsUsed)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    wait(200ms);
+    ASSERT_EQ(statusOf("/look/x", "a"), 200);
+    const std::string row = store->value("servers", "i-1");
+    store->remove("servers", "i-1");
+    ASSERT_TRUE(runUntil([this] { return statusOf("/look/x", "b") == 503; }));
+    store->setMode(EmulatedStore::Mode::Busy);
+    store->compact();
+    wait(300ms);
+    store->put("servers", "i-1", row);
+    wait(100ms);
+    store->restoreCopy(50ms);
+    store->rewriteLost();
+    store->setMode(EmulatedStore::Mode::Normal);
+    EXPECT_TRUE(runUntil([this] { return statusOf("/look/x", "c") == 200; }, 4s));
+}
