--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-/// Bits of a fencing token below the era: enough numbers for decades of writes, and eras that keep
-/// the token exact where JSON numbers are floating-point.
-constexpr int FenceNumberBits = 40;
+/// An era adds more to a fencing token than the writes that a copy of the store may lack take away.
+constexpr int FenceEraShift = 32;
 
 } // namespace
 
@@ -133,7 +132,7 @@
 auto PlacementLease::fence() const -> std::uint64_t
 {
     const auto tenure = m_lease.tenure();
-    return (static_cast<std::uint64_t>(tenure.era) << FenceNumberBits) + tenure.number;
+    return (static_cast<std::uint64_t>(tenure.era) << FenceEraShift) + tenure.number;
 }
 
 } // namespace Gateway
--- a/tests/auto/platform/tst_storecopy.cpp
+++ b/tests/auto/platform/tst_storecopy.cpp
@@ -224,6 +224,22 @@
     EXPECT_EQ(counted, 3);
 }
 
+// Guards against a configuration that is never taken (issue 32, review): one answer names a wrong
+// era.
+TEST_F(StoreBackFromACopy, OneWrongEraDoesNotHideNewConfigurations)
+{
+    addEngine("i-1", "app");
+    startReadyGateway();
+    wait(100ms);
+    store->setEraHeader("18446744073709551615");
+    store->compact();
+    wait(300ms);
+    store->setEraHeader("1");
+    store->compact();
+    putRoute(2, "/second/");
+    EXPECT_TRUE(runUntil([this] { return statusOf("/second/x", "a") == 200; }, 4s));
+}
+
 // Guards against a server that is never used (issue 32, review): it was taken for ended, registered
 // again while the store was out of reach, and the copy has that row.
 TEST_F(StoreBackFromACopy, ServerThatRegisteredAgainBeforeTheCopyIsUsed)
