--- a/src/libs/gateway/denialcheck.cpp
+++ b/src/libs/gateway/denialcheck.cpp
@@ -52,9 +52,14 @@
     m_isUnreadable = isUnreadable;
 }
 
-auto DenialCheck::setOutdated(bool isOutdated) -> void
+auto DenialCheck::noteNewerConfiguration() -> void
 {
-    m_isOutdated = isOutdated;
+    m_outdatedUntil = m_scheduler.now() + Constants::NewerConfigurationLifetime;
+}
+
+auto DenialCheck::noteConfigurationTaken() -> void
+{
+    m_outdatedUntil = {};
 }
 
 auto DenialCheck::detectSuspension() -> void
@@ -70,7 +75,8 @@
 auto DenialCheck::mayDeny() -> bool
 {
     const auto age = confirmationAge();
-    return age && *age <= m_lifetime && !m_newerRowReportedAt && !m_isUnreadable && !m_isOutdated;
+    return age && *age <= m_lifetime && !m_newerRowReportedAt && !m_isUnreadable
+        && m_scheduler.now() >= m_outdatedUntil;
 }
 
 auto DenialCheck::confirmationAge() -> std::optional<Duration>
--- a/src/libs/gateway/denialcheck.h
+++ b/src/libs/gateway/denialcheck.h
@@ -33,9 +33,11 @@
     auto noteStoreAnswer(Utils::TimePoint confirmedAt, const Utils::StoreVersion &ownRow) -> void;
     /// Records that another gateway knows `row` while this one knows `ownRow`.
     auto notePeerRow(const Utils::StoreVersion &row, const Utils::StoreVersion &ownRow) -> void;
-    /// Set while another gateway has a newer configuration in force: this one was started after the
-    /// store had lost it.
-    auto setOutdated(bool isOutdated) -> void;
+    /// Another gateway has a newer configuration in force. If the store doesn't have it, this
+    /// gateway was started after the store had lost it.
+    auto noteNewerConfiguration() -> void;
+    /// The configuration in force has changed.
+    auto noteConfigurationTaken() -> void;
     /// Set while the newest row cannot be parsed; nothing may be denied until the next row.
     auto setUnreadable(bool isUnreadable) -> void;
 
@@ -64,7 +66,7 @@
     std::optional<Utils::TimePoint>
         m_newerRowReportedAt; ///< When a peer reported a newer row than the own one.
     bool m_isUnreadable = false;
-    bool m_isOutdated = false;
+    Utils::TimePoint m_outdatedUntil; ///< Others have had a newer configuration recently.
     std::optional<Net::Scheduler::TimerId> m_queryTimer; ///< Set during the interval after a query.
     std::map<Ticket, std::function<void()>> m_waiting;
     Ticket m_nextTicket = 1;
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -32,6 +32,9 @@
 /// which a configuration must be in force everywhere. The rest covers the time that a request needs
 /// to reach the gateway.
 constexpr double ConfirmationLifetimeShare = 0.5;
+/// How long another gateway's report of a newer configuration forbids denials; reports are repeated
+/// several times a second.
+constexpr std::chrono::milliseconds NewerConfigurationLifetime(1000);
 /// Initial and longest interval between two queries for such a confirmation. Each query is billed,
 /// and its answer shares the link with the answers to earlier queries.
 constexpr std::chrono::milliseconds InitialConfirmationInterval(600);
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -115,7 +115,6 @@
     StalenessDetector configurationStaleness{Constants::ConfigurationLagTimeout};
     StalenessDetector serverListStaleness{serverListPollInterval()
                                           + Constants::ServerListLagMargin};
-    std::uint64_t newestPeerConfiguration = 0;
     bool draining = false;
     std::optional<Utils::TimePoint> lastTickAt;
     Utils::Duration longestDelay{0}; ///< Longest event-loop delay since the metrics were last read.
@@ -126,13 +125,6 @@
                                                         * Constants::ServerListPollIntervalShare);
     }
 
-    /// True if another gateway has a newer configuration in force than this one: the store lost it
-    /// before this process was started.
-    auto isOutdated() const -> bool
-    {
-        return context.configuration && context.configuration->version < newestPeerConfiguration;
-    }
-
     auto placementLimits() const -> PlacementLimits
     {
         PlacementLimits limits = settings.placement;
@@ -286,8 +278,8 @@
             configurationStaleness.notePeerVersion(peer.configurationRow, reactor.now());
             denialCheck.notePeerRow(peer.configurationRow,
                                     configurationFollower->completeVersion());
-            newestPeerConfiguration = std::max(newestPeerConfiguration, peer.configuration);
-            denialCheck.setOutdated(isOutdated());
+            if (context.configuration && peer.configuration > context.configuration->version)
+                denialCheck.noteNewerConfiguration();
             serverListStaleness.notePeerVersion(peer.serverRow, reactor.now());
         };
         coordinationEvents.onStoreRecovered = [this] { requeryAll("store back"); };
@@ -331,7 +323,7 @@
                          {"routes", parsed->routes.size()},
                          {"customers", parsed->customers.size()}});
         context.configuration = std::make_shared<const Configuration>(std::move(*parsed));
-        denialCheck.setOutdated(isOutdated());
+        denialCheck.noteConfigurationTaken();
     }
 
     /// Sends an additional query to the store, as the pending ones may have been lost.
--- a/tests/auto/gateway/tst_denialcheck.cpp
+++ b/tests/auto/gateway/tst_denialcheck.cpp
@@ -146,3 +146,20 @@
     EXPECT_EQ(calls, 1);
     EXPECT_EQ(others, 2);
 }
+
+// Guards against a denial by a configuration that the store had lost (issue 32, CONFIG): a gateway
+// that was started then holds an older one than the others, and the store confirms it.
+TEST(DenialCheck, NewerConfigurationOfAnotherGatewayForbidsDenialsForAWhile)
+{
+    DenialCheckFixture fixture;
+    fixture.check.noteStoreAnswer(fixture.scheduler.now(), row(5));
+    fixture.check.noteNewerConfiguration();
+    EXPECT_FALSE(fixture.check.mayDeny());
+    fixture.check.noteConfigurationTaken();
+    EXPECT_TRUE(fixture.check.mayDeny());
+    // A report that is not repeated has no lasting effect.
+    fixture.check.noteNewerConfiguration();
+    fixture.scheduler.advance(Gateway::Constants::NewerConfigurationLifetime);
+    fixture.check.noteStoreAnswer(fixture.scheduler.now(), row(5));
+    EXPECT_TRUE(fixture.check.mayDeny());
+}
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -5,6 +5,7 @@
 
 #include <gateway/denialcheck.h>
 #include <gateway/gatewayconstants.h>
+#include <gateway/gatewaysettings.h>
 #include <gateway/stalenessdetector.h>
 #include <gateway/tablefollower.h>
 
@@ -503,3 +504,24 @@
     fixture.advance(2400ms + 1s + 100ms);
     EXPECT_TRUE(fixture.isCurrent());
 }
+
+// Guards against a configuration that is in force late (issue 32, review): the holder tells all
+// gateways that the store is back while each of them reads its table again, and every such report
+// starts one more read over the same link. The read alone takes 1.7 s.
+TEST(TableFollower, ReportsThatTheStoreIsBackDoNotDelayTheReadOfItsCopy)
+{
+    FollowerFixture fixture;
+    for (int i = 0; i < 6; ++i)
+        fixture.store.put("k" + std::to_string(i), "old");
+    fixture.start();
+    fixture.advance(1s);
+    fixture.store.answerTime = 50ms;
+    fixture.store.transferTime = 1500ms;
+    fixture.store.restoreCopy(fixture.store.version().number - 3);
+    fixture.advance(300ms);
+    fixture.queryAgain();
+    fixture.advance(50ms);
+    fixture.queryAgain();
+    fixture.advance(Gateway::GatewaySettings().configurationApplyTime - 350ms);
+    EXPECT_TRUE(fixture.isCurrent());
+}
