--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -17,6 +17,9 @@
 /// reported at once.
 constexpr std::chrono::milliseconds ServerListLagMargin(100);
 constexpr std::chrono::milliseconds ConfigurationLagTimeout(300);
+/// An answer whose transfer takes longer than this has the link to itself: other pending queries
+/// for the same table are given up.
+constexpr std::chrono::milliseconds MinSlowTransferTime(50);
 /// Initial and longest delay before a failed query is retried. Refused calls are billed too, and a
 /// change must be known two seconds after it was made.
 constexpr std::chrono::milliseconds InitialRetryDelay(100);
@@ -29,6 +32,9 @@
 /// which a configuration must be in force everywhere. The rest covers the time that a request needs
 /// to reach the gateway.
 constexpr double ConfirmationLifetimeShare = 0.5;
+/// How long another gateway's report of a newer configuration forbids denials; reports are repeated
+/// several times a second.
+constexpr std::chrono::milliseconds NewerConfigurationLifetime(1000);
 /// Initial and longest interval between two queries for such a confirmation. Each query is billed,
 /// and its answer shares the link with the answers to earlier queries.
 constexpr std::chrono::milliseconds InitialConfirmationInterval(600);
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-/// Bits of a fencing token below the era: enough numbers for decades of writes, and eras that keep
-/// the token exact where JSON numbers are floating-point.
-constexpr int FenceNumberBits = 40;
+/// An era adds more to a fencing token than the writes that a copy of the store may lack take away.
+constexpr int FenceEraShift = 32;
 
 } // namespace
 
@@ -48,6 +47,7 @@
         self->noteStoreAvailability(answer.has_value());
         if (!answer)
             return self->m_lease.handleFailure();
+        self->m_events.onAnswer(answer->version.era);
         for (const Row &row : answer->rows) {
             if (row.key == Key)
                 return self->handleRow(row);
@@ -66,6 +66,7 @@
                       if (self->m_isStopped)
                           return;
                       if (answer) {
+                          self->m_events.onAnswer(answer->era);
                           self->m_lease.handleWritten(*answer, era, sentAt, Utils::bootTime());
                           self->noteStoreAvailability(true);
                       } else {
@@ -131,7 +132,7 @@
 auto PlacementLease::fence() const -> std::uint64_t
 {
     const auto tenure = m_lease.tenure();
-    return (static_cast<std::uint64_t>(tenure.era) << FenceNumberBits) + tenure.number;
+    return (static_cast<std::uint64_t>(tenure.era) << FenceEraShift) + tenure.number;
 }
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -5,6 +5,7 @@
 
 #include <gateway/denialcheck.h>
 #include <gateway/gatewayconstants.h>
+#include <gateway/gatewaysettings.h>
 #include <gateway/stalenessdetector.h>
 #include <gateway/tablefollower.h>
 
@@ -487,3 +488,40 @@
         RC_ASSERT(std::is_sorted(fixture.appliedVersions.begin(), fixture.appliedVersions.end()));
     }));
 }
+
+// A transfer that stops in the middle must not keep its successors from being used: only an answer
+// that arrives ends the other queries.
+TEST(TableFollower, StalledTransferIsReplaced)
+{
+    FollowerFixture fixture;
+    fixture.store.put("config", "0");
+    fixture.start();
+    fixture.advance(2s);
+    fixture.store.transferTime = 1s;
+    fixture.store.put("config", "1");
+    fixture.advance(300ms);
+    fixture.store.stallTransfers();
+    fixture.advance(2400ms + 1s + 100ms);
+    EXPECT_TRUE(fixture.isCurrent());
+}
+
+// Guards against a configuration that is in force late (issue 32, review): the holder tells all
+// gateways that the store is back while each of them reads its table again, and every such report
+// starts one more read over the same link. The read alone takes 1.7 s.
+TEST(TableFollower, ReportsThatTheStoreIsBackDoNotDelayTheReadOfItsCopy)
+{
+    FollowerFixture fixture;
+    for (int i = 0; i < 6; ++i)
+        fixture.store.put("k" + std::to_string(i), "old");
+    fixture.start();
+    fixture.advance(1s);
+    fixture.store.answerTime = 50ms;
+    fixture.store.transferTime = 1500ms;
+    fixture.store.restoreCopy(fixture.store.version().number - 3);
+    fixture.advance(300ms);
+    fixture.queryAgain();
+    fixture.advance(50ms);
+    fixture.queryAgain();
+    fixture.advance(Gateway::GatewaySettings().configurationApplyTime - 350ms);
+    EXPECT_TRUE(fixture.isCurrent());
+}
