A connection never carries an attempt again that was refused on it

Answers are told apart by the attempt's id, but our own repetition bears the same id. If it took the same kept connection, the old refusal was taken for its answer.

On safe routes that happened after any 503, on all routes after a 421 that names no other server. After a 503, at-most-once requests were safe only because a server that refused is avoided for longer (400 ms) than such a request's connection may be idle (250 ms), which nothing stated or checked.

Now each connection bears the names of the attempts refused on it, 32 at most, and is passed over for these. Other requests reuse it as before.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -20,7 +20,8 @@
     std::string attemptId;
     Utils::TimePoint sentAt; ///< When the request was written.
     Events events;
-    std::unique_ptr<Http1::ClientConnection> connection;
+    BackendConnection connection;
+    bool isRefused = false; ///< The server has answered that it has not run the request.
     Utils::Duration idleTimeout = Constants::RepeatableMaxIdle;
     Net::Reactor::TimerId connectTimer = 0;
     bool ended = false;
@@ -31,9 +32,10 @@
         // A late answer to an earlier request may arrive on this connection. Servers name the
         // request that they answer, so an answer without a name is rejected on a reused connection.
         const bool isUnnamed = answer.attemptId.empty() && !attemptId.empty();
-        if (isUnnamed ? connection && connection->wasUsedBefore()
+        if (isUnnamed ? connection.http && connection.http->wasUsedBefore()
                       : !answer.attemptId.empty() && answer.attemptId != attemptId)
             return false;
+        isRefused = answer.isNotRun;
         noteServerState(answer);
         if (answer.idleTimeout) {
             // Keep half of the stated time as a margin for clock drift and network delay.
@@ -84,7 +86,9 @@
         ended = true;
         const auto self = shared_from_this();
         context->reactor.cancel(connectTimer);
-        if (connection && outcome == AttemptEnd::Complete)
+        if (isRefused)
+            connection.refusedAttempts.push_back(attemptId);
+        if (connection.http && outcome == AttemptEnd::Complete)
             context->pool.release(backendId, std::move(connection), idleTimeout);
         else
             context->pool.discard(std::move(connection));
@@ -136,19 +140,19 @@
     data->attemptId = attemptId;
     data->events = std::move(events);
     std::unique_ptr<BackendAttempt> attempt(new BackendAttempt(data));
-    auto connection = context.pool.acquire(server.id, server.address, maxIdle);
+    auto connection = context.pool.acquire(server.id, server.address, maxIdle, attemptId);
     if (!connection) {
         data->failLater();
         return attempt;
     }
     data->connection = std::move(*connection);
-    if (data->connection->isConnected()) {
+    if (data->connection.http->isConnected()) {
         data->sentAt = context.reactor.now();
     } else {
         data->connectTimer = context.reactor.callAfter(
             Constants::ConnectTimeout, [weak = std::weak_ptr<Private>(data)] {
                 const auto self = weak.lock();
-                if (self && self->connection && !self->connection->isConnected())
+                if (self && self->connection.http && !self->connection.http->isConnected())
                     self->end(AttemptEnd::NotSent);
             });
     }
@@ -169,7 +173,7 @@
         d->sentAt = d->context->reactor.now();
         return true;
     };
-    data->connection->call(request, std::move(callEvents));
+    data->connection.http->call(request, std::move(callEvents));
     return attempt;
 }
 
@@ -185,7 +189,7 @@
 
 auto BackendAttempt::mayHaveArrived() const -> bool
 {
-    return d->connection && d->connection->hasSent();
+    return d->connection.http && d->connection.http->hasSent();
 }
 
 auto BackendAttempt::backendId() const -> const std::string &
--- a/src/libs/gateway/connectionpool.cpp
+++ b/src/libs/gateway/connectionpool.cpp
@@ -2,9 +2,10 @@
 
 #include "gatewayconstants.h"
 
-#include <http1/clientconnection.h>
 #include <net/reactor.h>
 
+#include <algorithm>
+
 namespace Gateway {
 
 ConnectionPool::ConnectionPool(Net::Reactor &reactor)
@@ -14,43 +15,50 @@
 ConnectionPool::~ConnectionPool() = default;
 
 auto ConnectionPool::acquire(const std::string &backendId, const Http1::SocketAddress &address,
-                             Utils::Duration maxIdle)
-    -> Utils::Result<std::unique_ptr<Http1::ClientConnection>, std::string>
+                             Utils::Duration maxIdle, const std::string &attemptId)
+    -> Utils::Result<BackendConnection, std::string>
 {
     const auto now = m_reactor.now();
     auto &idle = m_idle[backendId];
     // The most recently used connection is the least likely to have been closed by the peer.
-    while (!idle.empty()) {
-        Idle newest = std::move(idle.back());
-        idle.pop_back();
-        newest.connection->onIdleEnd(nullptr);
-        if (newest.connection->isReusable() && now < newest.until && now - newest.since <= maxIdle)
-            return std::move(newest.connection);
-        const bool isOnlyTooOld = newest.connection->isReusable() && now < newest.until;
-        if (isOnlyTooOld) {
-            release(backendId, std::move(newest.connection), newest.until - now);
-            m_idle[backendId].back().since = newest.since;
-            break;
+    for (auto it = idle.end(); it != idle.begin();) {
+        --it;
+        if (!it->connection.http->isReusable() || now >= it->until) {
+            it->connection.http->onIdleEnd(nullptr);
+            discard(std::move(it->connection));
+            it = idle.erase(it);
+            continue;
         }
-        discard(std::move(newest.connection));
+        if (now - it->since > maxIdle)
+            break;
+        const auto &refused = it->connection.refusedAttempts;
+        if (std::find(refused.begin(), refused.end(), attemptId) != refused.end())
+            continue;
+        it->connection.http->onIdleEnd(nullptr);
+        BackendConnection connection = std::move(it->connection);
+        idle.erase(it);
+        return connection;
     }
-    return Http1::ClientConnection::connect(m_reactor, address);
+    auto http = Http1::ClientConnection::connect(m_reactor, address);
+    if (!http)
+        return tl::unexpected(http.error());
+    return BackendConnection{std::move(*http), {}};
 }
 
-auto ConnectionPool::release(const std::string &backendId,
-                             std::unique_ptr<Http1::ClientConnection> connection,
+auto ConnectionPool::release(const std::string &backendId, BackendConnection connection,
                              Utils::Duration idleTimeout) -> void
 {
     auto &idle = m_idle[backendId];
-    if (!connection->isReusable() || idle.size() >= Constants::MaxIdleConnections)
+    if (!connection.http->isReusable() || idle.size() >= Constants::MaxIdleConnections
+        || connection.refusedAttempts.size() >= Constants::MaxRefusalsPerConnection)
         return discard(std::move(connection));
     const auto now = m_reactor.now();
-    Http1::ClientConnection *raw = connection.get();
+    Http1::ClientConnection *raw = connection.http.get();
     idle.push_back({std::move(connection), now, now + idleTimeout});
     raw->onIdleEnd([this, backendId, raw] {
         auto &list = m_idle[backendId];
         for (auto it = list.begin(); it != list.end(); ++it) {
-            if (it->connection.get() != raw)
+            if (it->connection.http.get() != raw)
                 continue;
             discard(std::move(it->connection));
             list.erase(it);
@@ -59,15 +67,15 @@
     });
 }
 
-auto ConnectionPool::discard(std::unique_ptr<Http1::ClientConnection> connection) -> void
+auto ConnectionPool::discard(BackendConnection connection) -> void
 {
-    if (!connection)
+    if (!connection.http)
         return;
-    connection->abandon();
-    connection->closeNow();
+    connection.http->abandon();
+    connection.http->closeNow();
     m_reactor.callAfter(
         Utils::Duration::zero(),
-        [kept = std::shared_ptr<Http1::ClientConnection>(std::move(connection))] {});
+        [kept = std::shared_ptr<Http1::ClientConnection>(std::move(connection.http))] {});
 }
 
 auto ConnectionPool::closeIdleConnections(const std::string &backendId) -> void
--- a/src/libs/gateway/connectionpool.h
+++ b/src/libs/gateway/connectionpool.h
@@ -1,18 +1,15 @@
 #pragma once
 
+#include "backendconnection.h"
+
 #include <http1/socketaddress.h>
 #include <utils/result.h>
 #include <utils/timepoint.h>
 
 #include <list>
 #include <map>
-#include <memory>
 #include <string>
 
-namespace Http1 {
-class ClientConnection;
-}
-
 namespace Net {
 class Reactor;
 }
@@ -26,28 +23,29 @@
     explicit ConnectionPool(Net::Reactor &reactor);
     ~ConnectionPool();
 
-    /// Returns a connection that has been idle for at most `maxIdle`, or opens a new one.
+    /// Returns a connection that has been idle for at most `maxIdle` and on which this attempt was
+    /// not refused, or opens a new one.
     auto acquire(const std::string &backendId, const Http1::SocketAddress &address,
-                 Utils::Duration maxIdle)
-        -> Utils::Result<std::unique_ptr<Http1::ClientConnection>, std::string>;
+                 Utils::Duration maxIdle, const std::string &attemptId)
+        -> Utils::Result<BackendConnection, std::string>;
     /// Keeps the connection for `idleTimeout` if it is reusable.
-    auto release(const std::string &backendId, std::unique_ptr<Http1::ClientConnection> connection,
+    auto release(const std::string &backendId, BackendConnection connection,
                  Utils::Duration idleTimeout) -> void;
     /// Closes a connection; safe to call inside its own callbacks.
-    auto discard(std::unique_ptr<Http1::ClientConnection> connection) -> void;
+    auto discard(BackendConnection connection) -> void;
     /// Closes all idle connections to a server.
     auto closeIdleConnections(const std::string &backendId) -> void;
 
 private:
     struct Idle
     {
-        std::unique_ptr<Http1::ClientConnection> connection;
+        BackendConnection connection;
         Utils::TimePoint since;
         Utils::TimePoint until;
     };
 
     Net::Reactor &m_reactor;
-    std::map<std::string, std::list<Idle>> m_idle;
+    std::map<std::string, std::list<Idle>> m_idle; ///< By server; the last one is the newest.
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -68,6 +68,8 @@
 constexpr std::chrono::milliseconds RepeatableMaxIdle(3000);
 /// Limit on idle connections to one backend server.
 constexpr size_t MaxIdleConnections = 16;
+/// A connection is closed after this many refused attempts, as each of them is remembered.
+constexpr size_t MaxRefusalsPerConnection = 32;
 
 /// Fraction of the caller's timeout for which a request may wait for a backend server.
 constexpr double MaxWaitShare = 0.5;
--- /dev/null
+++ b/tests/auto/platform/tst_staleanswers.cpp
@@ -0,0 +1,73 @@
+// A faulty backend server writes an earlier answer once more on a connection that was kept. Each
+// test checks that it is not taken for the answer to what was sent later.
+
+#include "gatewayfixture.h"
+#include "rawengine.h"
+
+namespace {
+
+/// The route of a request, and the refusal that its server writes twice.
+using Repetition = std::pair<std::string, std::string>;
+
+class RepeatedRefusals : public Gateways, public testing::WithParamInterface<Repetition>
+{ };
+
+auto answerTo(const std::string &attemptId) -> std::string
+{
+    const std::string name = attemptId.empty() ? "" : "Attempt-Id: " + attemptId + "\r\n";
+    const std::string body = "ran " + attemptId;
+    return "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n" + name
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string namedRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: a1\r\n"
+    "Content-Length: 0\r\n\r\n";
+const std::string wrongServer =
+    "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: a1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// Guards against "not run" for a request that runs (issue 32): a server refuses a request, runs its
+// repetition, and meanwhile writes the refusal once more on the connection of the first send.
+TEST_P(RepeatedRefusals, AreNotTakenForTheAnswerToTheRepetition)
+{
+    const auto &[target, refusal] = GetParam();
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        if (arrival.number == 1)
+            return raw.write(arrival.connection, refusal);
+        raw.writeLater(0, 2ms, refusal);
+        raw.writeLater(arrival.connection, 20ms, answerTo("a1"));
+    });
+    auto &engine = addEngine("i-1", "app");
+    engine.advertisedAddress = raw.address();
+    engine.announce();
+    startReadyGateway();
+    const auto answer = sendRequest(makeRequest(target, "a1"));
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "ran a1");
+    EXPECT_EQ(raw.arrivals().size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Gateways, RepeatedRefusals,
+                         testing::Values(Repetition{"/look/x", namedRefusal},
+                                         Repetition{"/file/x", namedRefusal},
+                                         Repetition{"/look/x", wrongServer},
+                                         Repetition{"/file/x", wrongServer}));
+
+// Connections are priced, so those on which other requests were refused are used on.
+TEST_F(Gateways, ConnectionOnWhichAnotherRequestWasRefusedIsReused)
+{
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        raw.write(arrival.connection,
+                  arrival.number == 1 ? namedRefusal : answerTo(arrival.attemptId));
+    });
+    auto &engine = addEngine("i-1", "app");
+    engine.advertisedAddress = raw.address();
+    engine.announce();
+    startReadyGateway();
+    EXPECT_EQ(sendRequest(makeRequest("/look/x", "a1"))->body, "ran a1");
+    EXPECT_EQ(sendRequest(makeRequest("/look/x", "a2"))->body, "ran a2");
+    EXPECT_EQ(sendRequest(makeRequest("/look/x", "a3"))->body, "ran a3");
+    EXPECT_LE(raw.connectionCount(), 2U);
+}
