Calls that name no attempt are sent on new connections

A late answer is recognised by the name of its attempt. A request without one, which the engines refuse by themselves, could take an earlier answer for its own on a kept connection: tst_staleanswers EarlierAnswerIsNotTakenForTheAnswer ToANamelessRequest sent it three times where two requests came, so an at-most-once request ran twice. Orders and report requests name no attempt either; they asked for a connection that was idle for 0 ms, so a new one in practice. Now the pool gives such calls a new connection always.

--- a/src/libs/gateway/connectionpool.cpp
+++ b/src/libs/gateway/connectionpool.cpp
@@ -21,7 +21,7 @@
     const auto now = m_reactor.now();
     auto &idle = m_idle[backendId];
     // The most recently used connection is the least likely to have been closed by the peer.
-    for (auto it = idle.end(); it != idle.begin();) {
+    for (auto it = idle.end(); !attemptId.empty() && it != idle.begin();) {
         --it;
         if (!it->connection.http->isReusable() || now >= it->until) {
             it->connection.http->onIdleEnd(nullptr);
--- a/src/libs/gateway/connectionpool.h
+++ b/src/libs/gateway/connectionpool.h
@@ -24,7 +24,8 @@
     ~ConnectionPool();
 
     /// Returns a connection that has been idle for at most `maxIdle` and on which this attempt was
-    /// not refused, or opens a new one.
+    /// not refused, or opens a new one. Without a name, an answer can't be told from that to an
+    /// earlier call, so such calls always get a new connection.
     auto acquire(const std::string &backendId, const Http1::SocketAddress &address,
                  Utils::Duration maxIdle, const std::string &attemptId)
         -> Utils::Result<BackendConnection, std::string>;
--- a/tests/auto/platform/tst_staleanswers.cpp
+++ b/tests/auto/platform/tst_staleanswers.cpp
@@ -55,6 +55,29 @@
                                          Repetition{"/look/x", wrongServer},
                                          Repetition{"/file/x", wrongServer}));
 
+// Guards against the same where callers name no attempt: no answer can be told from an earlier one.
+TEST_F(Gateways, EarlierAnswerIsNotTakenForTheAnswerToANamelessRequest)
+{
+    const std::string refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        if (arrival.number == 1)
+            return raw.write(arrival.connection, answerTo({}));
+        raw.write(0, refusal);
+        raw.writeLater(arrival.connection, 10ms, answerTo({}));
+    });
+    auto &engine = addEngine("i-1", "app");
+    engine.advertisedAddress = raw.address();
+    engine.announce();
+    startReadyGateway();
+    const std::string request =
+        "POST /file/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key1\r\n"
+        "Deadline-Ms: 1400\r\nContent-Length: 4\r\n\r\nbody";
+    EXPECT_EQ(sendRequest(request)->status, 200);
+    EXPECT_EQ(sendRequest(request)->status, 200);
+    EXPECT_EQ(raw.arrivals().size(), 2U);
+}
+
 // Connections are priced, so those on which other requests were refused are used on.
 TEST_F(Gateways, ConnectionOnWhichAnotherRequestWasRefusedIsReused)
 {
