--- a/tests/auto/platform/tst_staleanswers.cpp
+++ b/tests/auto/platform/tst_staleanswers.cpp
@@ -4,6 +4,8 @@
 #include "gatewayfixture.h"
 #include "rawengine.h"
 
+#include <set>
+
 namespace {
 
 /// The route of a request, and the refusal that its server writes twice.
@@ -110,3 +112,56 @@
     EXPECT_EQ(answer->status, 503);
     EXPECT_LE(raw.arrivals().size(), 4U) << "in 0.7 s";
 }
+
+// A server writes each answer once more when the next call arrives. Orders and report requests name
+// no attempt, so each needs a connection that has carried nothing before.
+TEST_F(Gateways, RepeatedAnswersToOrdersAndReportsAreNotTakenForLaterOnes)
+{
+    int orders = 0;
+    bool isHeld = false;
+    std::set<size_t> used;
+    int callsOnUsedConnections = 0;
+    std::pair<size_t, std::string> last;
+    const auto writeAfterLast = [&last](RawEngine &raw, size_t connection,
+                                        const std::string &answer) {
+        if (!last.second.empty())
+            raw.write(last.first, last.second);
+        raw.write(connection, answer);
+        last = {connection, answer};
+    };
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        used.insert(arrival.connection);
+        writeAfterLast(raw, arrival.connection, answerTo(arrival.attemptId));
+    });
+    raw.onOwnCall = [&](const RawEngine::Arrival &arrival) {
+        callsOnUsedConnections += used.insert(arrival.connection).second ? 0 : 1;
+        if (arrival.target == "/-/order") {
+            // Refused once, so that the answer to an earlier order would be a wrong one.
+            isHeld = ++orders > 1;
+            return writeAfterLast(raw, arrival.connection,
+                                  std::string("HTTP/1.1 ")
+                                      + (isHeld ? "202 Accepted" : "409 Conflict")
+                                      + "\r\nContent-Length: 0\r\n\r\n");
+        }
+        json models = json::array();
+        models.push_back({{"name", "m1"}, {"version", 1}, {"adapters", json::array()}});
+        if (isHeld)
+            models.push_back({{"name", "m2"}, {"version", 1}, {"adapters", json::array()}});
+        const json report = {
+            {"stage", "both"}, {"models", models}, {"busy", false}, {"sequence", isHeld ? 1 : 0}};
+        writeAfterLast(raw, arrival.connection,
+                       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(report.dump().size())
+                           + "\r\n\r\n" + report.dump());
+    };
+    auto &engine = addEngine("i-1", "lm", {"m1"});
+    engine.advertisedAddress = raw.address();
+    engine.announce();
+    startReadyGateway();
+    auto answer = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*answer, address,
+                        makeRequest("/batch/x", "a1", "Model: m2\r\nToken-Count: 10,10\r\n"));
+    EXPECT_TRUE(runUntil([&] { return isHeld && !raw.arrivals().empty(); }, 3s));
+    runUntil([] { return false; }, 300ms);
+    EXPECT_EQ(orders, 2);
+    EXPECT_EQ(callsOnUsedConnections, 0);
+}
