A continuation that adds nothing doesn't end a stream as complete

A resumable stream broke off after some events; the next engine answered with a signed success and no further event. A stream's last event looks like any other, so nothing shows that it is whole: it is now resumed at another engine where the route allows one more, or broken off, so that the caller may resume it. The engine isn't counted as failed.

tst_brokenstreams Continuations before the change: Nothing, NothingInChunks and OnlyEarlierEvents fail, the caller's answer is whole. 500, 404, an unsigned success, a signed one that is no stream, a refusal, and errors in the middle of a head or an event passed before: they were kept from the caller already. So was a stream without length or chunks that ends inside an event. All pass now.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -136,7 +136,7 @@
     const bool isError = m_answer.status >= FirstServerError;
     const std::string server = m_attempt->backendId();
     endAttempt(isMalformed || isError ? SendOutcome::Failed : SendOutcome::Good);
-    if (isMalformed) {
+    if (isMalformed || isEmptyContinuation()) {
         m_triedServers.insert(server);
         return handleFailure();
     }
@@ -178,6 +178,13 @@
     }
 }
 
+/// True if a successful answer has to continue a stream, but adds nothing to it. The server may
+/// have had nothing to add, but nothing shows that: a stream's last event looks like any other.
+auto RequestFlow::isEmptyContinuation() const -> bool
+{
+    return m_resumedAfter && m_answer.isSuccess() && m_lastEvent == m_resumedAfter;
+}
+
 /// Handles an answer which says that the server has not run the request.
 auto RequestFlow::handleNotRun() -> void
 {
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -414,6 +414,7 @@
     m_answer = {};
     m_body.clear();
     m_splitter.clear();
+    m_resumedAfter = m_answerBegun ? m_lastEvent : std::nullopt;
     ++m_sends;
     m_permitUsableUntil = m_context.permits->take(server);
     m_isHeldBack = false;
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -74,6 +74,7 @@
     auto handleEnd(AttemptEnd outcome) -> void;
     auto handleComplete() -> void;
     auto handleNotRun() -> void;
+    auto isEmptyContinuation() const -> bool;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> void;
     auto startSilenceTimer() -> void;
@@ -134,6 +135,8 @@
     EventSplitter m_splitter;
     std::optional<std::int64_t> m_lastEvent; ///< Last event that was sent to the caller.
     bool m_answerBegun = false;
+    /// Last event before the current attempt, if that has to continue a stream.
+    std::optional<std::int64_t> m_resumedAfter;
     std::set<std::string> m_triedServers; ///< Excluded from further attempts.
     int m_possibleRuns = 0; ///< Number of servers at which the request may have run.
     int m_sends = 0;
