Text without an event's id is kept out of resumed streams

Now a continuation passes on nothing before its first new event, and anything without an id but comments ends it as broken; - an engine may write an earlier refusal once more between two events of a stream that has neither a length nor chunks. The head was passed on as an event. Now text without an id has to consist of fields, else the answer is broken; - a stream of events without ids was resumed, though nothing tells the next engine where to go on, so the caller got the same events twice. It isn't resumed any more.

--- a/src/libs/gateway/eventsplitter.cpp
+++ b/src/libs/gateway/eventsplitter.cpp
@@ -1,5 +1,6 @@
 #include "eventsplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace Gateway {
@@ -23,22 +24,45 @@
     }
 }
 
-auto idOf(std::string_view event) -> std::optional<std::int64_t>
+auto parseId(std::string_view value) -> std::optional<std::int64_t>
 {
-    while (!event.empty()) {
-        const auto end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-        if (!line.starts_with("id:"))
+    while (value.starts_with(' '))
+        value.remove_prefix(1);
+    std::int64_t id = 0;
+    if (std::from_chars(value.data(), value.data() + value.size(), id).ec != std::errc())
+        return {};
+    return id;
+}
+
+/// Field names of events consist of lowercase letters and hyphens; an answer's head begins with
+/// neither.
+auto isFieldName(std::string_view name) -> bool
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || c == '-';
+    });
+}
+
+auto parseEvent(std::string_view text) -> StreamEvent
+{
+    StreamEvent event{std::string(text), {}, true, true};
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        std::string_view line = text.substr(0, end);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        if (line.empty() || line.starts_with(':'))
             continue;
-        line.remove_prefix(std::string_view("id:").size());
-        while (line.starts_with(' '))
-            line.remove_prefix(1);
-        std::int64_t id = 0;
-        if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc())
-            return id;
+        event.isComment = false;
+        const auto colon = line.find(':');
+        const std::string_view name = line.substr(0, colon);
+        if (colon == std::string_view::npos || !isFieldName(name))
+            event.hasOnlyFields = false;
+        else if (name == "id" && !event.id)
+            event.id = parseId(line.substr(colon + 1));
     }
-    return {};
+    return event;
 }
 
 } // namespace
@@ -49,7 +73,7 @@
     m_buffer += data;
     std::string_view view = m_buffer;
     while (const size_t length = eventLength(view)) {
-        events.push_back({std::string(view.substr(0, length)), idOf(view.substr(0, length))});
+        events.push_back(parseEvent(view.substr(0, length)));
         view.remove_prefix(length);
     }
     m_buffer.erase(0, m_buffer.size() - view.size());
--- a/src/libs/gateway/eventsplitter.h
+++ b/src/libs/gateway/eventsplitter.h
@@ -13,6 +13,8 @@
 {
     std::string text; ///< Includes the empty line that ends the event.
     std::optional<std::int64_t> id;
+    bool isComment = false; ///< No fields; it only shows that the connection is alive.
+    bool hasOnlyFields = false; ///< Each line is a comment or a field with a name and a value.
 };
 
 /// Splits a stream of server-sent events into complete events, so that a truncated event never
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -47,33 +47,51 @@
 {
     const bool isStream = m_route->kind == RouteKind::Stream && m_answer.isSuccess()
         && m_answer.isSigned && !m_answer.isEncoded;
+    bool isValid = true;
     if (isStream)
-        relayEvents(data);
+        isValid = relayEvents(data);
     else
         m_body += data;
-    const bool isTooLarge = m_attempt
-        && (m_body.size() > Constants::MaxAnswerBytes
-            || m_splitter.partialEventBytes() > Constants::MaxEventBytes);
-    if (isTooLarge)
+    const bool isTooLarge = m_body.size() > Constants::MaxAnswerBytes
+        || m_splitter.partialEventBytes() > Constants::MaxEventBytes;
+    if (m_attempt && (!isValid || isTooLarge))
         handleEnd(AttemptEnd::Broken);
 }
 
-/// Forwards complete events in order, each exactly once.
-auto RequestFlow::relayEvents(std::string_view data) -> void
+/// Returns false for bytes that show that the answer is not, or no longer, this request's stream.
+auto RequestFlow::mayRelay(const StreamEvent &event) const -> bool
+{
+    if (event.id || event.isComment)
+        return true;
+    // Nothing shows that it continues what the caller has.
+    return !m_resumedAfter && event.hasOnlyFields;
+}
+
+/// Forwards complete events in order, each exactly once. Returns false if the answer must not be
+/// read on.
+auto RequestFlow::relayEvents(std::string_view data) -> bool
 {
     std::string out;
     bool hasNewEvent = false;
+    bool isValid = true;
     for (const StreamEvent &event : m_splitter.feed(data)) {
+        isValid = mayRelay(event);
+        if (!isValid)
+            break;
         if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
             continue;
+        const bool hasContinued = !m_resumedAfter || m_lastEvent != m_resumedAfter;
+        if (event.isComment && !hasContinued)
+            continue;
         if (event.id) {
             m_lastEvent = event.id;
             hasNewEvent = true;
         }
+        m_hasEventsWithoutId = m_hasEventsWithoutId || !(event.id || event.isComment);
         out += event.text;
     }
     if (out.empty())
-        return;
+        return isValid;
     if (!m_answerBegun) {
         m_answerBegun = true;
         m_firstEventAt = m_context.reactor.now();
@@ -89,6 +107,7 @@
     // Comments show that the connection is alive, but not that the engine makes progress.
     if (hasNewEvent)
         startSilenceTimer();
+    return isValid;
 }
 
 auto RequestFlow::handleEnd(AttemptEnd outcome) -> void
@@ -215,7 +234,8 @@
 
 auto RequestFlow::mayRepeatNow() const -> bool
 {
-    return m_route->mayRepeat() && m_possibleRuns < m_route->maxServers
+    // Another server can't be told to go on after events without an id.
+    return m_route->mayRepeat() && !m_hasEventsWithoutId && m_possibleRuns < m_route->maxServers
         && timeLeft() > Constants::AnswerMargin * 2;
 }
 
@@ -268,7 +288,7 @@
 auto RequestFlow::handleSilence() -> void
 {
     const auto self = shared_from_this();
-    if (m_isDone || !m_attempt)
+    if (m_isDone || !m_attempt || m_hasEventsWithoutId)
         return;
     const bool mayHaveArrived = m_attempt->mayHaveArrived();
     if (mayHaveArrived && m_possibleRuns + 1 >= m_route->maxServers)
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -76,7 +76,8 @@
     auto handleNotRun() -> void;
     auto isEmptyContinuation() const -> bool;
     auto handleFailure() -> void;
-    auto relayEvents(std::string_view data) -> void;
+    auto relayEvents(std::string_view data) -> bool;
+    auto mayRelay(const StreamEvent &event) const -> bool;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
 
@@ -135,6 +136,7 @@
     EventSplitter m_splitter;
     std::optional<std::int64_t> m_lastEvent; ///< Last event that was sent to the caller.
     bool m_answerBegun = false;
+    bool m_hasEventsWithoutId = false; ///< Some were sent to the caller.
     /// Last event before the current attempt, if that has to continue a stream.
     std::optional<std::int64_t> m_resumedAfter;
     std::set<std::string> m_triedServers; ///< Excluded from further attempts.
--- a/tests/auto/gateway/tst_eventsplitter.cpp
+++ b/tests/auto/gateway/tst_eventsplitter.cpp
@@ -30,6 +30,24 @@
     EXPECT_EQ(events[1].id, 7);
 }
 
+// An answer's head or text between two events must not be taken for one.
+TEST(EventSplitter, TellsEventsFromCommentsAndFromOtherText)
+{
+    EventSplitter splitter;
+    const auto events =
+        splitter.feed(": alive\n\n\ndata: a\n\nweight-versions: 2\nid: 3\ndata: b\n\n"
+                      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\nerror\n\n");
+    ASSERT_EQ(events.size(), 6U);
+    EXPECT_TRUE(events[0].isComment);
+    EXPECT_TRUE(events[1].isComment) << "an empty line";
+    EXPECT_FALSE(events[2].isComment);
+    EXPECT_TRUE(events[2].hasOnlyFields);
+    EXPECT_EQ(events[3].id, 3);
+    EXPECT_TRUE(events[3].hasOnlyFields);
+    EXPECT_FALSE(events[4].hasOnlyFields);
+    EXPECT_FALSE(events[5].hasOnlyFields);
+}
+
 RC_GTEST_PROP(EventSplitter, ChunkBoundariesMakeNoDifference,
               (const std::vector<std::uint8_t> &chunkSizes))
 {
--- a/tests/auto/platform/tst_brokenstreams.cpp
+++ b/tests/auto/platform/tst_brokenstreams.cpp
@@ -97,9 +97,17 @@
         Continuation{"NotFound", answer("404 Not Found\r\nServer-Stamp: s2\r\n", "error\n\n")},
         Continuation{"UnsignedSuccess", answer("200 OK\r\n", event(2))},
         Continuation{"NoStream", answer("200 OK\r\nServer-Stamp: s2\r\n", "{\"error\":1}")},
+        Continuation{"EventsWithoutId",
+                     answer("200 OK\r\nServer-Stamp: s2\r\n", "data: error\n\n")},
+        Continuation{"TextLikeEvents",
+                     answer("200 OK\r\nServer-Stamp: s2\r\n", "error: no\r\n\r\n")},
+        Continuation{"EventsWithoutIdWithoutLength",
+                     "HTTP/1.1 200 OK\r\nServer-Stamp: s2\r\nAttempt-Id: a1\r\n\r\ndata: error\n\n",
+                     true},
         Continuation{"Nothing", answer("200 OK\r\nServer-Stamp: s2\r\n", "")},
         Continuation{"NothingInChunks", chunkedStream("")},
         Continuation{"OnlyEarlierEvents", chunkedStream(event(1))},
+        Continuation{"OnlyComments", chunkedStream(": alive\n\n")},
         Continuation{"Refusal", answer("503 Service Unavailable\r\nNot-Executed: 1\r\n", "error")},
         Continuation{"EndInAHead", "HTTP/1.1 200 OK\r\nServer-Stamp: s2\r\nAttempt", true},
         Continuation{"ErrorInAHead",
@@ -128,6 +136,53 @@
     EXPECT_EQ(events(answer->body), (std::vector<int>{1, 2, 3}));
 }
 
+// The next engine adds nothing, and the one after it sends the rest.
+TEST_F(Gateways, ContinuationThatAddsNothingIsFollowedByAnother)
+{
+    putConfiguration(2,
+                     {{"routes",
+                       {{{"name", "r"},
+                         {"host", "h.example"},
+                         {"prefix", "/batch/"},
+                         {"routeType", "streaming"},
+                         {"timeoutMs", 1500},
+                         {"targetLatencyMs", 100},
+                         {"service", "lm"},
+                         {"maxAttempts", 3},
+                         {"resumable", true}}}}});
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        if (arrival.number == 1) {
+            raw.write(arrival.connection, streamHead + "\r\n" + event(1));
+            return raw.reset(arrival.connection);
+        }
+        raw.write(arrival.connection, chunkedStream(arrival.number == 2 ? "" : event(2)));
+    });
+    for (const char *id : {"i-1", "i-2", "i-3"})
+        addRawEngine(addEngine(id, "lm", {"m1"}), raw);
+    startReadyGateway();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", m1));
+    EXPECT_TRUE(answer->isWhole());
+    EXPECT_EQ(events(answer->body), (std::vector<int>{1, 2}));
+    EXPECT_EQ(raw.arrivals().size(), 3U);
+}
+
+// Without ids, nothing tells the next engine where to go on, so events would come twice.
+TEST_F(Gateways, StreamOfEventsWithoutIdIsNotResumed)
+{
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        raw.write(arrival.connection,
+                  streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk("data: x\n\n"));
+        raw.reset(arrival.connection);
+    });
+    addRawEngine(addEngine("i-1", "lm", {"m1"}), raw);
+    addRawEngine(addEngine("i-2", "lm", {"m1"}), raw);
+    startReadyGateway();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", m1));
+    EXPECT_FALSE(answer->isWhole());
+    EXPECT_EQ(answer->body, "data: x\n\n");
+    EXPECT_EQ(raw.arrivals().size(), 1U);
+}
+
 // An answer has neither a length nor chunks and ends with its connection. Only an end inside an
 // event or a reset shows that it is incomplete.
 TEST_F(Gateways, StreamThatEndsWithItsConnectionIsCompleteOnlyAtAnEventsEnd)
@@ -165,3 +220,22 @@
         EXPECT_EQ(answer->body, one.rest.ends_with("\n\n") ? event(1) + event(2) : event(1));
     }
 }
+
+// Guards against an answer's head in the middle of a stream (issue 32): an engine writes an earlier
+// refusal once more between two events of a stream that has neither a length nor chunks.
+TEST_F(Gateways, RefusalBetweenTwoEventsOfAStreamIsKeptFromTheCaller)
+{
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        raw.write(arrival.connection,
+                  streamHead + "\r\n" + event(1)
+                      + "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+                        "Content-Length: 0\r\n\r\n"
+                      + event(2));
+        raw.finish(arrival.connection);
+    });
+    addRawEngine(addEngine("i-1", "lm", {"m1"}), raw);
+    startReadyGateway();
+    const auto answer = sendRequest(makeRequest("/draft/x", "a1", m1));
+    EXPECT_FALSE(answer->isWhole());
+    EXPECT_EQ(answer->body, event(1));
+}
