A stream that ends inside an event is told to the crash detection

A crashing engine's machine may close its connections in an orderly way. A stream without a length or chunks that ended so inside an event was broken off for its caller, but counted as no sign of a crash, so that the request came to engines again and again.

tst_brokenstreams StreamThatEndsInsideAnEventCountsAsASignOfACrash before: the request reaches an engine a third time, status 200. After: 503 at once.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -152,6 +152,9 @@
     ++m_possibleRuns;
     const bool isMalformed = m_answer.isEncoded || (m_answer.isSuccess() && !m_answer.isSigned)
         || m_splitter.hasPartialEvent();
+    // A crashing server's machine may end its connections in an orderly way.
+    if (m_splitter.hasPartialEvent())
+        m_context.onSuspect(m_attempt->backendId(), m_fingerprint);
     const bool isError = m_answer.status >= FirstServerError;
     const std::string server = m_attempt->backendId();
     endAttempt(isMalformed || isError ? SendOutcome::Failed : SendOutcome::Good);
--- a/tests/auto/platform/tst_brokenstreams.cpp
+++ b/tests/auto/platform/tst_brokenstreams.cpp
@@ -239,3 +239,35 @@
     EXPECT_FALSE(answer->isWhole());
     EXPECT_EQ(answer->body, event(1));
 }
+
+// A request makes its engine crash while it writes, and the engine's machine ends the connection in
+// an orderly way. The third such request is refused before it reaches an engine.
+TEST_F(Gateways, StreamThatEndsInsideAnEventCountsAsASignOfACrash)
+{
+    putConfiguration(2,
+                     {{"routes",
+                       {{{"name", "r"},
+                         {"host", "h.example"},
+                         {"prefix", "/flow/"},
+                         {"routeType", "streaming"},
+                         {"timeoutMs", 1500},
+                         {"targetLatencyMs", 100},
+                         {"service", "app"}}}}});
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        std::string head = streamHead;
+        head.replace(head.find("a1"), 2, arrival.attemptId);
+        raw.write(arrival.connection, head + "\r\n" + event(1) + "id: 2\ndata: to");
+        raw.finish(arrival.connection);
+    });
+    auto &engine = addEngine("i-1", "app");
+    addRawEngine(engine, raw);
+    startReadyGateway();
+    for (int i = 1; i <= 2; ++i) {
+        EXPECT_FALSE(sendRequest(makeRequest("/flow/x", "a" + std::to_string(i)))->isWhole());
+        engine.crash();
+        engine.restart("i-1");
+        runUntil([] { return false; }, 700ms);
+    }
+    EXPECT_EQ(sendRequest(makeRequest("/flow/x", "a3"))->status, 503);
+    EXPECT_EQ(raw.arrivals().size(), 2U);
+}
