--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -47,33 +47,51 @@
 {
     const bool isStream = m_route->kind == RouteKind::Stream && m_answer.isSuccess()
         && m_answer.isSigned && !m_answer.isEncoded;
+    bool isValid = true;
     if (isStream)
-        relayEvents(data);
+        isValid = relayEvents(data);
     else
         m_body += data;
-    const bool isTooLarge = m_attempt
-        && (m_body.size() > Constants::MaxAnswerBytes
-            || m_splitter.partialEventBytes() > Constants::MaxEventBytes);
-    if (isTooLarge)
+    const bool isTooLarge = m_body.size() > Constants::MaxAnswerBytes
+        || m_splitter.partialEventBytes() > Constants::MaxEventBytes;
+    if (m_attempt && (!isValid || isTooLarge))
         handleEnd(AttemptEnd::Broken);
 }
 
-/// Forwards complete events in order, each exactly once.
-auto RequestFlow::relayEvents(std::string_view data) -> void
+/// Returns false for bytes that show that the answer is not, or no longer, this request's stream.
+auto RequestFlow::mayRelay(const StreamEvent &event) const -> bool
+{
+    if (event.id || event.isComment)
+        return true;
+    // Nothing shows that it continues what the caller has.
+    return !m_resumedAfter && event.hasOnlyFields;
+}
+
+/// Forwards complete events in order, each exactly once. Returns false if the answer must not be
+/// read on.
+auto RequestFlow::relayEvents(std::string_view data) -> bool
 {
     std::string out;
     bool hasNewEvent = false;
+    bool isValid = true;
     for (const StreamEvent &event : m_splitter.feed(data)) {
+        isValid = mayRelay(event);
+        if (!isValid)
+            break;
         if (event.id && m_lastEvent && *event.id <= *m_lastEvent)
             continue;
+        const bool hasContinued = !m_resumedAfter || m_lastEvent != m_resumedAfter;
+        if (event.isComment && !hasContinued)
+            continue;
         if (event.id) {
             m_lastEvent = event.id;
             hasNewEvent = true;
         }
+        m_hasEventsWithoutId = m_hasEventsWithoutId || !(event.id || event.isComment);
         out += event.text;
     }
     if (out.empty())
-        return;
+        return isValid;
     if (!m_answerBegun) {
         m_answerBegun = true;
         m_firstEventAt = m_context.reactor.now();
@@ -89,6 +107,7 @@
     // Comments show that the connection is alive, but not that the engine makes progress.
     if (hasNewEvent)
         startSilenceTimer();
+    return isValid;
 }
 
 auto RequestFlow::handleEnd(AttemptEnd outcome) -> void
@@ -133,10 +152,13 @@
     ++m_possibleRuns;
     const bool isMalformed = m_answer.isEncoded || (m_answer.isSuccess() && !m_answer.isSigned)
         || m_splitter.hasPartialEvent();
+    // A crashing server's machine may end its connections in an orderly way.
+    if (m_splitter.hasPartialEvent())
+        m_context.onSuspect(m_attempt->backendId(), m_fingerprint);
     const bool isError = m_answer.status >= FirstServerError;
     const std::string server = m_attempt->backendId();
     endAttempt(isMalformed || isError ? SendOutcome::Failed : SendOutcome::Good);
-    if (isMalformed) {
+    if (isMalformed || isEmptyContinuation()) {
         m_triedServers.insert(server);
         return handleFailure();
     }
@@ -178,20 +200,25 @@
     }
 }
 
+/// True if a successful answer has to continue a stream, but adds nothing to it. The server may
+/// have had nothing to add, but nothing shows that: a stream's last event looks like any other.
+auto RequestFlow::isEmptyContinuation() const -> bool
+{
+    return m_resumedAfter && m_answer.isSuccess() && m_lastEvent == m_resumedAfter;
+}
+
 /// Handles an answer which says that the server has not run the request.
 auto RequestFlow::handleNotRun() -> void
 {
     const std::string server = m_attempt->backendId();
-    if (m_answer.isWrongServer) {
-        // Either another incarnation uses the address, or the model is not loaded there.
-        if (m_answer.actualServerId && *m_answer.actualServerId != server)
-            m_triedServers.insert(server);
-        else if (m_needsModel)
-            m_context.board.noteMissing(server, m_request.model, m_request.adapter);
-        endAttempt(SendOutcome::Abandoned);
-    } else {
-        endAttempt(SendOutcome::Busy);
-    }
+    const bool isOtherIncarnation =
+        m_answer.isWrongServer && m_answer.actualServerId && *m_answer.actualServerId != server;
+    if (isOtherIncarnation)
+        m_triedServers.insert(server);
+    else if (m_answer.isWrongServer && m_needsModel)
+        m_context.board.noteMissing(server, m_request.model, m_request.adapter);
+    const bool isUnsuitable = isOtherIncarnation || (m_answer.isWrongServer && m_needsModel);
+    endAttempt(isUnsuitable ? SendOutcome::Abandoned : SendOutcome::Busy);
     if (!requestRetry("not_run"))
         return refuse(m_possibleRuns > 0 ? RefusalReason::BackendFailed
                                          : RefusalReason::NoBackendServer);
@@ -210,7 +237,8 @@
 
 auto RequestFlow::mayRepeatNow() const -> bool
 {
-    return m_route->mayRepeat() && m_possibleRuns < m_route->maxServers
+    // Another server can't be told to go on after events without an id.
+    return m_route->mayRepeat() && !m_hasEventsWithoutId && m_possibleRuns < m_route->maxServers
         && timeLeft() > Constants::AnswerMargin * 2;
 }
 
@@ -263,7 +291,7 @@
 auto RequestFlow::handleSilence() -> void
 {
     const auto self = shared_from_this();
-    if (m_isDone || !m_attempt)
+    if (m_isDone || !m_attempt || m_hasEventsWithoutId)
         return;
     const bool mayHaveArrived = m_attempt->mayHaveArrived();
     if (mayHaveArrived && m_possibleRuns + 1 >= m_route->maxServers)
