One row that can't be read no longer stops a table for all gateways

What callers could see: with one row in the list of servers whose value isn't base64, or whose fields have other types, gateways followed the list no more: engines that came were never used, those that left were sent requests, and a gateway that started never became ready. The same row under the key of the placement lease kept every gateway from the lease.

Cause: the store's client rejected the whole answer for one such row, and the poll that follows names the same version, so it got the same answer for ever.

Ruled out: entries whose value can be decoded but makes no sense were rejected one by one already.

Change: a row whose key can be read is passed on with its version and the reason (Row::fault), so the version moves on and the follower doesn't take the row for removed; the reader of the table rejects it with that reason, once for each version of the row.

--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -74,7 +74,8 @@
                                     });
         return;
     }
-    const auto server = m_context.wire.parseBackend(row.key, row.value);
+    const auto server =
+        row.fault ? tl::unexpected(*row.fault) : m_context.wire.parseBackend(row.key, row.value);
     if (!server) {
         Utils::logEvent(Utils::Event::EntryRejected,
                         {{"what", "server"}, {"server", row.key}, {"reason", server.error()}});
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -299,7 +299,7 @@
 
     auto applyConfiguration(const Row &row) -> void
     {
-        auto parsed = wire.parseConfiguration(row.value);
+        auto parsed = row.fault ? tl::unexpected(*row.fault) : wire.parseConfiguration(row.value);
         denialCheck.setUnreadable(!parsed);
         if (!parsed) {
             Utils::logEvent(Utils::Event::ConfigurationRejected,
--- a/src/libs/gateway/rowstore.h
+++ b/src/libs/gateway/rowstore.h
@@ -19,6 +19,8 @@
     std::string value; ///< Raw bytes.
     Utils::StoreVersion version;
     bool isRemoved = false; ///< Only in changes.
+    /// Reason why the value could not be decoded; the value is empty then.
+    std::optional<std::string> fault = std::nullopt;
 };
 
 /// Rows, or changes of rows, and the store's version that they lead to.
--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -64,6 +64,39 @@
 
 } // namespace
 
+// Guards against: one row that can't be read stopped the list of servers for all gateways.
+TEST_F(OddEntries, RowThatIsNoBase64LeavesTheOtherServersInUse)
+{
+    addEngine("e1", "app");
+    startReadyGateway();
+    ASSERT_EQ(statusOf("/look/x"), 200);
+    store->putEncoded("servers", "odd", "no base64!");
+    wait(300ms);
+    EXPECT_EQ(statusOf("/look/x"), 200);
+    EXPECT_TRUE(isFollowingTheList());
+}
+
+// Guards against: a gateway that starts beside a row that can't be read never becomes ready.
+TEST_F(OddEntries, GatewayStartsBesideARowThatIsNoBase64)
+{
+    addEngine("e1", "app");
+    store->putEncoded("servers", "odd", "no base64!");
+    startReadyGateway();
+    EXPECT_EQ(statusOf("/look/x"), 200);
+    EXPECT_TRUE(isFollowingTheList());
+}
+
+// Guards against: a spoiled lease row keeps all gateways from the placement lease.
+TEST_F(OddEntries, SpoiledLeaseRowIsTakenOver)
+{
+    addEngine("e1", "lm", {"m1"});
+    startReadyGateway();
+    ASSERT_TRUE(runUntil([&] { return !store->value("acaciahall", "placement").empty(); }));
+    store->putEncoded("acaciahall", "placement", "no base64!");
+    EXPECT_TRUE(
+        runUntil([&] { return store->value("acaciahall", "placement").starts_with("{"); }, 12s));
+}
+
 // Guards against: a caller's model name that is not UTF-8 ends the process, as it can't be sent to
 // the lease holder.
 TEST_F(OddEntries, ModelNameThatIsNotUtf8DoesNotEndTheGateway)
--- a/tests/auto/platform/tst_rowstoreclient.cpp
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -150,3 +150,48 @@
     EXPECT_FALSE(answer);
     EXPECT_TRUE(closed);
 }
+
+// Guards against: one row that can't be read made the whole answer unreadable.
+TEST_F(RowStoreCalls, RowsThatCannotBeReadLeaveTheOthersInTheAnswer)
+{
+    const std::string good = R"({"table":"servers","part":"","key":"a","value":"e30=","ver":3})";
+    const std::vector<std::string> odd = {
+        R"({"key":"b","value":"no base64!","ver":4})",
+        R"({"key":"b","value":7,"ver":4})",
+        R"({"key":"b","ver":4})",
+        R"({"key":"b","value":"e30=","ver":"4"})",
+        R"({"key":"b","value":"e30=","ver":4.5})",
+        R"({"key":"b","value":"e30=","ver":4,"removed":1})",
+    };
+    const std::vector<std::string> withoutKey = {
+        "7",
+        "null",
+        "[]",
+        R"({"value":"e30=","ver":4})",
+        R"({"key":7,"value":"e30=","ver":4})",
+        R"({"key":"b","part":7,"value":"e30=","ver":4})",
+    };
+    pieces = 0;
+    const auto listWith = [&](const std::string &row) {
+        const std::string body = R"({"ver":9,"rows":[)" + row + "," + good + "]}";
+        opening =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        list();
+        ASSERT_TRUE(answer) << row;
+        EXPECT_EQ(answer->version.number, 9) << row;
+        ASSERT_FALSE(answer->rows.empty()) << row;
+        EXPECT_EQ(answer->rows.back().key, "a") << row;
+        EXPECT_EQ(answer->rows.back().value, "{}") << row;
+        EXPECT_FALSE(answer->rows.back().fault) << row;
+    };
+    for (const std::string &row : odd) {
+        listWith(row);
+        ASSERT_EQ(answer->rows.size(), 2) << row;
+        EXPECT_EQ(answer->rows.front().key, "b") << row;
+        EXPECT_TRUE(answer->rows.front().fault) << row;
+    }
+    for (const std::string &row : withoutKey) {
+        listWith(row);
+        EXPECT_EQ(answer->rows.size(), 1) << row;
+    }
+}
