Numbers of entries, reports and configurations are checked for their range

What could be seen: an entry of the server list with a number too large was taken with another one: slots as 4, born as -1. Born under a known id made all later entries of that server those of an earlier incarnation: its list entry counted no more. A leavesMs of 1e300, or such a time in a configuration, was an undefined conversion that differs between x86-64 and arm64 and overflows when added to a point in time. A configuration with version -1 made all later ones outdated.

Cause: FieldReader converted any integer to int64 without a check (an unsigned one beyond it wraps), and its callers cast that to int, or a double to milliseconds.

A leavesMs below zero is zero, as the time has run out. A row's or an answer's version is checked too.

--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -236,3 +236,83 @@
     EXPECT_EQ(fields.value("Attempt-Id"), "9c41");
     EXPECT_FALSE(encodeRefusalFields("9c41", {}).has("Retry-After"));
 }
+
+// Guards against: an entry with a number that its field can't have, read as another number.
+TEST(Codecs, EntriesWithNumbersOutOfRangeAreRejected)
+{
+    const std::vector<std::string> table = {
+        replaced(entry, R"("slots":64)", R"("slots":0)"),
+        replaced(entry, R"("slots":64)", R"("slots":-1)"),
+        replaced(entry, R"("slots":64)", R"("slots":4294967300)"),
+        replaced(entry, R"("slots":64)", R"("slots":18446744073709551615)"),
+        replaced(entry, R"("sequence":4)", R"("sequence":-1)"),
+        replaced(entry, R"("sequence":4)", R"("sequence":9223372036854775808)"),
+        replaced(entry, R"("sequence":4)", R"("sequence":9223372036854775807)"),
+        replaced(entry, R"("sequence":4)", R"("sequence":1e999)"),
+        replaced(entry, "1700000000000", "18446744073709551615"),
+        replaced(entry, "1700000000000", "9223372036854775807"),
+        replaced(entry, "1700000000000", "-1"),
+        replaced(entry, R"("sequence":4)", R"("sequence":4,"leavesMs":1e300)"),
+        replaced(entry, R"("sequence":4)", R"("sequence":4,"leavesMs":"soon")"),
+    };
+    for (const std::string &bytes : table)
+        EXPECT_FALSE(decodeBackend("i-1", bytes)) << bytes;
+    const auto late =
+        decodeBackend("i-1", replaced(entry, R"("sequence":4)", R"("sequence":4,"leavesMs":-3)"));
+    ASSERT_TRUE(late) << late.error();
+    EXPECT_EQ(late->leavesIn, 0ms);
+}
+
+TEST(Codecs, ReportsWithNumbersOutOfRangeAreRejected)
+{
+    const std::string report = R"({"models":[],"coming":[],"sequence":5,"running":3,"waiting":1})";
+    ASSERT_TRUE(decodeReport(report));
+    EXPECT_FALSE(decodeReport(replaced(report, ":5", ":-5")));
+    EXPECT_FALSE(decodeReport(replaced(report, ":5", ":18446744073709551615")));
+    EXPECT_FALSE(decodeReport(replaced(report, ":3", ":4294967300")));
+    EXPECT_FALSE(decodeReport(replaced(report, ":1", ":-1")));
+}
+
+// Guards against: a configuration with a number that its field can't have, read as another number.
+TEST(Codecs, ConfigurationsWithNumbersOutOfRangeAreRejected)
+{
+    const std::string good = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/",
+"routeType":"streaming","timeoutMs":25000,"targetLatencyMs":3000,"priority":1,"maxAttempts":2,
+"gapAimMs":250,"trafficSplit":[{"service":"s","weight":0.25}]}],
+"services":[{"name":"s","maxConnections":12,"engine":{"slots":8,"weightsMb":130000,
+"adapterSlots":6,"loadsPerS":10,"models":[{"name":"m","weightsMb":60000,"loadS":6,"adapters":3}]}}],
+"tenants":[{"name":"t","apiKeys":["k"],"priority":5,"plainTokens":10,"ratePerS":20,"burst":40}],
+"limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":1000,
+"idleTimeoutMs":5000}})";
+    ASSERT_TRUE(decodeConfiguration(good)) << decodeConfiguration(good).error();
+    const std::vector<std::pair<std::string, std::vector<std::string>>> table = {
+        {R"("version":7)", {"-1", "18446744073709551615", "1.5"}},
+        {R"("timeoutMs":25000)", {"-1", "1e300", "1e18"}},
+        {R"("targetLatencyMs":3000)", {"-1", "1e308"}},
+        {R"("gapAimMs":250)", {"-250", "1e300"}},
+        {R"("priority":1)", {"4294967300", "-9223372036854775808"}},
+        {R"("maxAttempts":2)", {"-1", "4294967298"}},
+        {R"("weight":0.25)", {"-0.25", "1e308"}},
+        {R"("maxConnections":12)", {"4294967308"}},
+        {R"("slots":8)", {"-8", "4294967304"}},
+        {R"("weightsMb":130000)", {"-1", "1e308"}},
+        {R"("adapterSlots":6)", {"-6", "18446744073709551615"}},
+        {R"("loadsPerS":10)", {"-10", "1e300"}},
+        {R"("weightsMb":60000)", {"-60000", "1e308"}},
+        {R"("loadS":6)", {"-6", "1e300"}},
+        {R"("adapters":3)", {"-3", "4294967299"}},
+        {R"("priority":5)", {"4294967301"}},
+        {R"("plainTokens":10)", {"-10", "1e308"}},
+        {R"("ratePerS":20)", {"-20", "1e308"}},
+        {R"("burst":40)", {"-40", "1e308"}},
+        {R"("maxHeaderBytes":4096)", {"-1", "18446744073709551615"}},
+        {R"("maxBodyBytes":100000)", {"-1"}},
+        {R"("headerTimeoutMs":1000)", {"-1", "1e300"}},
+        {R"("idleTimeoutMs":5000)", {"-1", "1e300"}},
+    };
+    for (const auto &[field, values] : table) {
+        const std::string name = field.substr(0, field.find(':') + 1);
+        for (const std::string &value : values)
+            EXPECT_FALSE(decodeConfiguration(replaced(good, field, name + value))) << name << value;
+    }
+}
--- a/tests/auto/platform/tst_rowstoreclient.cpp
+++ b/tests/auto/platform/tst_rowstoreclient.cpp
@@ -161,6 +161,8 @@
         R"({"key":"b","ver":4})",
         R"({"key":"b","value":"e30=","ver":"4"})",
         R"({"key":"b","value":"e30=","ver":4.5})",
+        R"({"key":"b","value":"e30=","ver":-4})",
+        R"({"key":"b","value":"e30=","ver":18446744073709551615})",
         R"({"key":"b","value":"e30=","ver":4,"removed":1})",
     };
     const std::vector<std::string> withoutKey = {
