--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -316,3 +316,38 @@
             EXPECT_FALSE(decodeConfiguration(replaced(good, field, name + value))) << name << value;
     }
 }
+
+// Guards against: a time or count in a head that overflows later.
+TEST(Codecs, NumbersInHeadsAreBounded)
+{
+    for (const char *text : {"nan", "-nan", "-1", "-inf", "1e999999"}) {
+        Http1::RequestHead head;
+        head.fields.add("Deadline-Ms", text);
+        EXPECT_FALSE(decodeRequest(head, {})) << text;
+    }
+    for (const char *text : {"inf", "1e300", "1e19"}) {
+        Http1::RequestHead head;
+        head.fields.add("Deadline-Ms", text);
+        const auto request = decodeRequest(head, {});
+        ASSERT_TRUE(request) << text;
+        EXPECT_GE(*request->patience, 24h) << text;
+        EXPECT_LE(*request->patience, 24h * 366) << text;
+    }
+    Http1::RequestHead tokens;
+    tokens.fields.add("Token-Count", "2147483647,2147483647");
+    EXPECT_FALSE(decodeRequest(tokens, {}));
+    for (const char *text : {"2147483647,2147483647,1", "-1,-2147483648,8", "99999999999,1,2"}) {
+        Http1::ResponseHead head;
+        head.fields.add("Server-Load", text);
+        const auto answer = decodeAnswer(head);
+        if (answer.load) {
+            EXPECT_GE(answer.load->running, 0) << text;
+            EXPECT_GE(answer.load->waiting, 0) << text;
+            EXPECT_LE(std::int64_t(answer.load->running) + answer.load->waiting, 2000000000)
+                << text;
+        }
+    }
+    Http1::ResponseHead idle;
+    idle.fields.add("Keep-Alive", "timeout=-5");
+    EXPECT_FALSE(decodeAnswer(idle).idleTimeout);
+}
