Entries with an address or id that no server can have are rejected

What could be seen: an entry with port 0, 0.0.0.0, a multicast, reserved or the broadcast address, or a null character in the address was taken, and requests were tried there. An id with a line break went into the head of each request to that server as fields of its own.

--- a/src/libs/gateway/dutymessages.cpp
+++ b/src/libs/gateway/dutymessages.cpp
@@ -63,7 +63,8 @@
     result.seen = storeViewFromJson(message);
     result.isReceiverAlive = fieldOr(message, "heard", false);
     for (const auto &text : fieldOr(message, "members", std::vector<std::string>())) {
-        if (const auto address = Http1::SocketAddress::parse(text))
+        const auto address = Http1::SocketAddress::parse(text);
+        if (address && address->isConnectable())
             result.members.push_back(*address);
     }
     return result;
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -85,7 +85,7 @@
     const std::string name = Utils::fieldOr(value, "holder", std::string());
     const Utils::StoreEra writtenIn{Utils::fieldOr(value, "era", std::uint64_t(0))};
     m_lease.handleRow({name, row.version, writtenIn}, Utils::bootTime());
-    if (address && name != m_name)
+    if (address && address->isConnectable() && name != m_name)
         m_events.onOtherHolder(*address);
 }
 
--- a/src/libs/http1/socketaddress.cpp
+++ b/src/libs/http1/socketaddress.cpp
@@ -20,7 +20,8 @@
         return tl::unexpected("expected an address such as 10.1.0.25:8221, found \"" + text + '"');
     };
     const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
+    // The conversion below would stop at a null character.
+    if (colon == std::string::npos || text.find('\0') != std::string::npos)
         return parseError();
     in_addr ip = {};
     if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &ip) != 1)
@@ -33,6 +34,13 @@
     return create(ntohl(ip.s_addr), port);
 }
 
+auto SocketAddress::isConnectable() const -> bool
+{
+    constexpr std::uint32_t firstOctet = 0xff000000;
+    constexpr std::uint32_t firstMulticast = 0xe0000000;
+    return m_port != 0 && (m_ip & firstOctet) != 0 && m_ip < firstMulticast;
+}
+
 auto SocketAddress::toString() const -> std::string
 {
     in_addr ip = {};
--- a/src/libs/http1/socketaddress.h
+++ b/src/libs/http1/socketaddress.h
@@ -19,6 +19,9 @@
     auto port() const -> std::uint16_t { return m_port; }
     auto withPort(std::uint16_t port) const -> SocketAddress { return create(m_ip, port); }
     auto toString() const -> std::string;
+    /// True if it can be another process's address: no port 0, and no "any", multicast, reserved or
+    /// broadcast address.
+    auto isConnectable() const -> bool;
     auto operator==(const SocketAddress &) const -> bool = default;
     auto operator<(const SocketAddress &other) const -> bool
     {
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -351,3 +351,21 @@
     idle.fields.add("Keep-Alive", "timeout=-5");
     EXPECT_FALSE(decodeAnswer(idle).idleTimeout);
 }
+
+// Guards against: an entry that names an address that no engine can have, or an id that would
+// change the heads of requests to it.
+TEST(Codecs, EntriesWithoutAUsableAddressOrIdAreRejected)
+{
+    const std::string address = R"("10.128.0.9:8080")";
+    for (const char *text :
+         {R"("10.128.0.9:0")", R"("10.128.0.9:70000")", R"("10.128.0.9:-1")", R"("10.128.0.9:")",
+          R"("0.0.0.0:8080")", R"("0.1.2.3:8080")", R"("255.255.255.255:8080")",
+          R"("224.0.0.1:8080")", R"("240.0.0.1:8080")", R"("10.128.0.9\u0000.1:8080")",
+          R"("10.128.0.9:8080\u0000")", R"("10.128.0.9:8080 ")"})
+        EXPECT_FALSE(decodeBackend("i-1", replaced(entry, address, text))) << text;
+    EXPECT_TRUE(decodeBackend("i-1", replaced(entry, address, R"("127.0.0.1:8080")")));
+    for (const std::string &id :
+         {std::string(), std::string("a b"), std::string("a\r\nX: y"), std::string("a\0b", 3),
+          std::string("\xc3\xa9"), std::string("\x7f")})
+        EXPECT_FALSE(decodeBackend(id, entry)) << id;
+}
