An entry that can't be read names no server to use

What callers could see: a server whose entry another writer had overwritten stayed in use with what was known of it before, for as long as the odd entry was there: a server that left or ended meanwhile went on getting requests.

Cause: the follower logged such an entry and went on with the former one.

Decision: PROTOCOL.md says that such an entry names no engine to use. What was known stops being true unnoticed (draining, another incarnation, other models), and the server writes again with its next heartbeat, so leaving it out costs about a heartbeat. It hasn't ended either: requests that run there go on, they are no evidence for a crash, its idle connections stay, and its incarnation and models are kept for the comparison with the next entry. A removed row still means gone. The flag is apart from isLeaving, as a change of era makes leaving servers' state last.

Change: BackendServer::isUsable is asked wherever isLeaving was for selection and placement; BackendRegistry::noteUnreadable. The same fault of the same entry is logged once, until it is readable or removed.

Before: OddEntries.SpoiledEntryNamesNoServerToUseUntilItIsReadableAgain failed (requests still served by it after 4 s, with both kinds of bytes), and OneFaultOfAnEntryIsLoggedOnce counted 3 lines for 4 writes. After: pass; tst_storecopy passes.

--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -61,6 +61,7 @@
 auto BackendFollower::handleRow(const Row &row) -> void
 {
     if (row.isRemoved) {
+        m_unreadable.erase(row.key);
         const auto now = m_context.reactor.now();
         const bool mayHaveExpired =
             m_wasStoreLost && now - m_regainedAt < Constants::ExpiredEntryGracePeriod;
@@ -76,17 +77,15 @@
     }
     const auto server =
         row.fault ? tl::unexpected(*row.fault) : m_context.wire.parseBackend(row.key, row.value);
-    if (!server) {
-        Utils::logEvent(Utils::Event::EntryRejected,
-                        {{"what", "server"}, {"server", row.key}, {"reason", server.error()}});
-        return;
-    }
+    if (!server)
+        return handleUnreadableRow(row, server.error());
+    m_unreadable.erase(row.key);
     if (m_isReadingCopy && isEndedInCopy(*server))
         return;
     m_expired.erase(row.key);
     const BackendServer *known = m_context.board.find(row.key);
     const bool isNewIncarnation = known && server->startedAtMs > known->startedAtMs;
-    const bool changesState = !known || isNewIncarnation || known->isLeaving != server->isLeaving;
+    const bool changesState = !known || isNewIncarnation || known->isUsable() != server->isUsable();
     m_context.board.update(*server, m_context.reactor.now());
     if (isNewIncarnation)
         m_events.onGone(row.key);
@@ -102,6 +101,24 @@
     m_events.onChanged();
 }
 
+auto BackendFollower::handleUnreadableRow(const Row &row, const std::string &reason) -> void
+{
+    const bool wasUsable = m_context.board.noteUnreadable(row.key);
+    if (wasUsable)
+        m_events.onChanged();
+    const auto [logged, isNew] = m_unreadable.try_emplace(row.key, reason);
+    if (!isNew && logged->second == reason && !wasUsable)
+        return;
+    logged->second = reason;
+    Utils::logEvent(Utils::Event::EntryRejected,
+                    {{"what", "server"},
+                     {"server", row.key},
+                     {"reason", reason},
+                     {"withdrawn", wasUsable},
+                     {"era", row.version.era},
+                     {"version", row.version.number}});
+}
+
 auto BackendFollower::handleEraChanged() -> void
 {
     m_isReadingCopy = true;
--- a/src/libs/gateway/backendfollower.h
+++ b/src/libs/gateway/backendfollower.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -19,7 +20,9 @@
 /// Synchronizes the registry of backend servers with the list in the store. Entries that vanish
 /// during an outage of the store may merely have expired, or been lost by its copy; they are kept
 /// until their servers have had time to write them again. A copy doesn't bring back servers that
-/// are known to have ended or to be leaving, until they write again.
+/// are known to have ended or to be leaving, until they write again. A server whose entry another
+/// writer has overwritten with something else gets no new requests until it writes again; it is
+/// not taken for ended.
 class BackendFollower
 {
 public:
@@ -47,6 +50,7 @@
 
     auto handleEraChanged() -> void;
     auto handleRow(const Row &row) -> void;
+    auto handleUnreadableRow(const Row &row, const std::string &reason) -> void;
     auto isEndedInCopy(const BackendServer &server) const -> bool;
     auto remove(const std::string &id, bool hasLapsed, const Utils::StoreVersion &version) -> void;
     auto removeIfStillExpired(const std::string &id) -> void;
@@ -56,6 +60,7 @@
     Utils::TimePoint m_regainedAt;
     bool m_wasStoreLost = false;
     std::set<std::string> m_expired;
+    std::map<std::string, std::string> m_unreadable; ///< Reasons by key, as logged.
     bool m_isReadingCopy = false; ///< Rows arrive as they were when the store's copy was made.
     std::deque<EndedServer> m_ended; ///< The last ones.
     std::unique_ptr<TableFollower> m_follower;
--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -144,6 +144,15 @@
     return true;
 }
 
+auto BackendRegistry::noteUnreadable(const std::string &id) -> bool
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.server.hasUnreadableEntry)
+        return false;
+    found->second.server.hasUnreadableEntry = true;
+    return true;
+}
+
 auto BackendRegistry::notePause(const std::string &id, TimePoint until) -> void
 {
     const auto found = m_entries.find(id);
@@ -156,7 +165,7 @@
 {
     std::optional<TimePoint> first;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.server.service != requirements.service || entry.server.isLeaving
+        if (entry.server.service != requirements.service || !entry.server.isUsable()
             || requirements.excluded.count(id) > 0 || !holds(entry, requirements))
             continue;
         if (entry.pausedUntil <= now)
@@ -197,7 +206,7 @@
                                   const BackendRequirements &requirements, TimePoint now) const
     -> bool
 {
-    return entry.server.service == requirements.service && !entry.server.isLeaving
+    return entry.server.service == requirements.service && entry.server.isUsable()
         && requirements.excluded.count(id) == 0 && entry.ejectedUntil <= now
         && entry.avoidedUntil <= now && entry.pausedUntil <= now && holds(entry, requirements)
         && loadOf(entry, now) < capacityOf(entry);
@@ -266,7 +275,7 @@
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
         const Entry &entry = item.second;
         // Engines may load the model while the request waits.
-        return entry.server.service == requirements.service && !entry.server.isLeaving
+        return entry.server.service == requirements.service && entry.server.isUsable()
             && requirements.excluded.count(item.first) == 0 && !needsPermit(entry);
     });
 }
@@ -274,7 +283,7 @@
 auto BackendRegistry::isHeld(const BackendRequirements &requirements) const -> bool
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        return item.second.server.service == requirements.service && !item.second.server.isLeaving
+        return item.second.server.service == requirements.service && item.second.server.isUsable()
             && holds(item.second, requirements);
     });
 }
@@ -282,7 +291,7 @@
 auto BackendRegistry::hasService(const std::string &service) const -> bool
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        return item.second.server.service == service && !item.second.server.isLeaving;
+        return item.second.server.service == service && item.second.server.isUsable();
     });
 }
 
@@ -325,7 +334,7 @@
     int all = 0;
     int ejected = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.server.service != service || entry.server.isLeaving)
+        if (entry.server.service != service || !entry.server.isUsable())
             continue;
         ++all;
         if (entry.ejectedUntil > now)
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -58,6 +58,9 @@
     /// A server announced that it is leaving: that incarnation gets no new requests, whatever the
     /// list says. Returns true if that was unknown.
     auto noteLeaving(const std::string &id, std::int64_t startedAtMs) -> bool;
+    /// The server's entry can't be read: it gets no new requests until an update. Returns true if
+    /// the server was usable before.
+    auto noteUnreadable(const std::string &id) -> bool;
     /// The server accepts no requests from this gateway before `until`.
     auto notePause(const std::string &id, Utils::TimePoint until) -> void;
     /// Earliest end of a pause among the servers that a request may use; unset if one of them is
--- a/src/libs/gateway/backendserver.h
+++ b/src/libs/gateway/backendserver.h
@@ -22,12 +22,16 @@
     std::int64_t startedAtMs = 0; ///< Unix time; distinguishes incarnations with the same id.
     int slots = 0;
     bool isLeaving = false;
+    bool hasUnreadableEntry = false; ///< The entry was overwritten; the fields are the former ones.
     std::optional<std::chrono::milliseconds> leavesIn;
     /// Models in engine memory, with the loaded adapters of each.
     std::map<std::string, std::set<std::string>> models;
     std::vector<std::string> copiesInMemory; ///< Models with weights in host memory.
     std::vector<std::string> copiesOnDisk;
     std::int64_t ordersAccepted = 0;
+
+    /// True if the list names the server as one to use.
+    auto isUsable() const -> bool { return !isLeaving && !hasUnreadableEntry; }
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -81,7 +81,7 @@
         const Service *service = m_context.configuration
             ? m_context.configuration->findService(server->service)
             : nullptr;
-        if (!service || !service->engine || server->isLeaving)
+        if (!service || !service->engine || !server->isUsable())
             continue;
         const std::string key = server->id + '@' + std::to_string(server->startedAtMs);
         present.insert(key);
--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -188,3 +188,23 @@
     EXPECT_FALSE(registry.choose(requirements(), start));
     EXPECT_TRUE(registry.choose(requirements(), start + Constants::ReportedLoadLifetime));
 }
+
+// Guards against: a server whose entry was overwritten stays in use, or counts as ended.
+TEST(BackendRegistry, ServerWithAnUnreadableEntryIsUnusedUntilTheNextUpdate)
+{
+    BackendRegistry registry("a");
+    EXPECT_FALSE(registry.noteUnreadable("e1"));
+    registry.update(makeServer("e1"), start);
+    registry.noteSent("e1");
+    EXPECT_TRUE(registry.noteUnreadable("e1"));
+    EXPECT_FALSE(registry.noteUnreadable("e1"));
+    EXPECT_FALSE(registry.choose(requirements(), start));
+    EXPECT_FALSE(registry.hasService("filing"));
+    EXPECT_EQ(registry.inFlight("e1"), 1);
+    registry.update(makeServer("e2"), start);
+    EXPECT_EQ(registry.choose(requirements(), start), "e2");
+    registry.remove("e2");
+    registry.update(makeServer("e1"), start);
+    EXPECT_EQ(registry.choose(requirements(), start), "e1");
+    EXPECT_EQ(registry.inFlight("e1"), 1);
+}
--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -3,6 +3,8 @@
 
 #include "gatewayfixture.h"
 
+#include <utils/eventlog.h>
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -97,6 +99,94 @@
         runUntil([&] { return store->value("acaciahall", "placement").starts_with("{"); }, 12s));
 }
 
+// Guards against: an entry with a number too large or an address that no engine can have.
+TEST_F(OddEntries, EveryKindOfOddEntryLeavesTheOtherServersInUse)
+{
+    addEngine("e1", "app");
+    startReadyGateway();
+    ASSERT_EQ(statusOf("/look/x"), 200);
+    constexpr size_t depth = 300000;
+    const std::vector<std::pair<std::string, std::string>> fields = {
+        {"address", R"("10.1.0.1:70000")"},
+        {"address", R"("10.1.0.1:0")"},
+        {"address", R"("0.0.0.0:8080")"},
+        {"address", R"("255.255.255.255:8080")"},
+        {"slots", "0"},
+        {"slots", "4294967300"},
+        {"born", "18446744073709551615"},
+        {"born", "9223372036854775807"},
+        {"sequence", "-1"},
+        {"sequence", "1e999"},
+        {"sequence", "99999999999999999999999"},
+        {"leavesMs", "1e300"},
+        {"models", nested(depth)},
+        {"atHand", nested(depth)},
+        {"extra", nested(depth)},
+    };
+    for (const auto &[name, value] : fields) {
+        std::string text = entryOf("e1").dump();
+        text.pop_back();
+        // The last field of a name counts.
+        store->put("servers", "odd", text + ",\"" + name + "\":" + value + "}");
+        wait(100ms);
+        EXPECT_EQ(statusOf("/look/x"), 200) << name;
+    }
+    EXPECT_TRUE(isFollowingTheList());
+}
+
+// Guards against: an entry with a start time that is too large under a known id, after which the
+// server's own entries count as those of an earlier incarnation.
+TEST_F(OddEntries, ServersOwnEntryCountsAfterOneWithAnImpossibleStart)
+{
+    EmulatedEngine &engine = addEngine("e1", "app");
+    startReadyGateway();
+    ASSERT_EQ(statusOf("/look/x"), 200);
+    json odd = entryOf("e1");
+    odd["born"] = INT64_MAX;
+    store->put("servers", "e1", odd.dump());
+    wait(1s);
+    engine.announce();
+    EXPECT_TRUE(runUntil([&] { return statusOf("/look/x") == 200; }));
+    engine.announce("draining");
+    EXPECT_TRUE(runUntil([&] { return statusOf("/look/x") == 503; }));
+}
+
+// Guards against: a server whose entry another writer has spoiled stays in use.
+TEST_F(OddEntries, SpoiledEntryNamesNoServerToUseUntilItIsReadableAgain)
+{
+    EmulatedEngine &engine = addEngine("e1", "app");
+    startReadyGateway();
+    for (const bool isEncoded : {false, true}) {
+        ASSERT_EQ(statusOf("/look/x"), 200);
+        if (isEncoded)
+            store->putEncoded("servers", "e1", "no base64!");
+        else
+            store->put("servers", "e1", "{}");
+        EXPECT_TRUE(runUntil([&] { return statusOf("/look/x") == 503; })) << isEncoded;
+        engine.announce();
+        EXPECT_TRUE(runUntil([&] { return statusOf("/look/x") == 200; })) << isEncoded;
+    }
+}
+
+// Guards against: a line in the log for each of many writes of the same odd entry.
+TEST_F(OddEntries, OneFaultOfAnEntryIsLoggedOnce)
+{
+    addEngine("e1", "app");
+    startReadyGateway();
+    testing::internal::CaptureStderr();
+    for (int i = 0; i < 4; ++i) {
+        store->put("servers", "odd", R"({"slots":0})");
+        wait(300ms);
+    }
+    Utils::flushLog();
+    const std::string log = testing::internal::GetCapturedStderr();
+    size_t lines = 0;
+    for (size_t at = log.find("entry-rejected"); at != std::string::npos;
+         at = log.find("entry-rejected", at + 1))
+        ++lines;
+    EXPECT_EQ(lines, 1) << log;
+}
+
 // Guards against: a caller's model name that is not UTF-8 ends the process, as it can't be sent to
 // the lease holder.
 TEST_F(OddEntries, ModelNameThatIsNotUtf8DoesNotEndTheGateway)
