--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -37,8 +37,8 @@
 {
     if (era <= m_era)
         return;
-    // The first era that a process learns of is no news: it has not seen any row before.
-    const bool isFirst = m_era == StoreEra() && !m_rowIsKnown && !m_wasRowSeen;
+    // The first era that a process learns of is no news, unless the store has answered before.
+    const bool isFirst = m_era == StoreEra() && m_rowChangedAt == TimePoint();
     m_era = era;
     if (isFirst)
         return;
--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -268,3 +268,19 @@
     lease.handleRow({{}, {StoreEra(1), 0}, StoreEra(1)}, now + 2s);
     EXPECT_EQ(lease.tick(now + Constants::TakeoverTimeout), LeaseStep::Write);
 }
+
+// Guards against two holders (issue 32, ONE): at a first start a missing row is free at once. A
+// process whose first write was rejected knows that there was a row, whatever a copy shows.
+TEST(LeaderLease, RowMissingInANewEraIsNotFreeAfterARejectedFirstWrite)
+{
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    LeaderLease lease("b");
+    lease.handleRow({{}, {StoreEra(0), 0}, StoreEra(0)}, now);
+    ASSERT_EQ(lease.tick(now), LeaseStep::Write);
+    lease.handleFailure();
+    now += 1s;
+    lease.handleRow({{}, {StoreEra(1), 0}, StoreEra(1)}, now);
+    EXPECT_EQ(lease.tick(now + 2s), LeaseStep::Read);
+    lease.handleRow({{}, {StoreEra(1), 0}, StoreEra(1)}, now + 2s);
+    EXPECT_EQ(lease.tick(now + Constants::TakeoverTimeout), LeaseStep::Write);
+}
