--- a/tests/models/placementlease.pml
+++ b/tests/models/placementlease.pml
@@ -1,14 +1,40 @@
 /* The lease on the placement duty. The holder renews a row in the store by a write conditional on the
- * row's version, and gives no orders once it could not renew for HOLD. Another gateway takes over the
- * row after it has seen it unchanged for TAKE. The store's answers may be lost, writes may take effect
- * late, and a gateway may pause at any time (it takes no step).
+ * number of the row's version, and gives no orders once it could not renew for HOLD. Another gateway
+ * takes over the row after it has seen it unchanged for TAKE. The store's answers may be lost, writes
+ * may take effect late, and a gateway may pause at any time (it takes no step).
  *
- * Property: orders of two different gateways are at least LEASE apart.
- * Mutants: FROM_ANSWER, UNCONDITIONAL, EARLY, UNCHECKED. */
+ * The store may come back from a copy: with an earlier row, or with none. The numbers of versions are
+ * given out again, and the era rises. Gateways learn of an era from any answer of the store, at
+ * different times. The row names the era that its writer knew. In a new era a gateway waits for TAKE,
+ * except for the one whose lease is valid when it learns of the era. The fencing token is the version,
+ * era first, of a tenure's first write.
+ *
+ * Properties: orders of two different gateways are at least LEASE apart; tokens of orders never fall,
+ * and those of two gateways differ.
+ * Mutants: FROM_ANSWER, UNCONDITIONAL, EARLY, UNCHECKED, NO_ERA_WAIT, ANY_CONTINUES, OLD_PROOF,
+ * ROW_OF_OLD_ERA, MISSING_IS_FREE, BARE_VERSION.
+ * Bounds: without copies by default; one copy beside late writes and gateways that start again with
+ * COPY; two in a row with COPIES. */
 
 #define GATEWAYS 2
+#if defined(COPY)
+#define HOLD 1
+#define LEASE 1
+#define MOST_VERSIONS 2
+#define MOST_ERAS 1
+#define RESTARTS
+#elif defined(COPIES)
+#define HOLD 1
+#define LEASE 1
+#define MOST_VERSIONS 3
+#define MOST_ERAS 2
+#define NO_LATE
+#else
 #define HOLD 2
 #define LEASE 2
+#define MOST_VERSIONS 4
+#define MOST_ERAS 0
+#endif
 /* Ages above this make no difference. */
 #ifdef UNCHECKED
 #define OLDEST (2 * HOLD + LEASE)
@@ -20,43 +46,77 @@
 #else
 #define TAKE (HOLD + LEASE + 1)
 #endif
-#define MOST_VERSIONS 4
-
-/* The store's row. */
+/* The store's row, which is missing in version 0, and its earlier states. */
+byte era = 0;
 byte version = 0;
-byte holder = 0;
+byte holders[MOST_VERSIONS + 1];
+byte writtenIn[MOST_VERSIONS + 1]; /* The era that the writer knew. */
 
 /* Each gateway's view of the row. */
+byte knownEra[GATEWAYS];
 bool known[GATEWAYS];
+bool aged[GATEWAYS];      /* The store's answer on the row, or a new era, was seen before. */
 byte knownVersion[GATEWAYS];
-byte knownHolder[GATEWAYS];
-byte rowAge[GATEWAYS];    /* Time since the gateway saw the row change. */
+bool isOwn[GATEWAYS];     /* The row is known, and is the gateway's own to renew. */
+byte rowAge[GATEWAYS];    /* Time since the gateway saw the row of another one change. */
 byte renewalAge[GATEWAYS];  /* Time since the last successful renewal was sent. */
+byte tenure[GATEWAYS];    /* Version of the tenure's first write, in the known era; 0: no tenure. */
+byte continuable[GATEWAYS]; /* Time left of a lease that was valid when an era was learned. */
 
-/* The write in flight: 0 none, 1 sent, 2 applied, 3 rejected. */
+/* The write in flight: 0 none, 1 sent, 2 applied. */
 byte writing[GATEWAYS];
-byte expected[GATEWAYS];
+byte sentIn[GATEWAYS];
+byte expected[GATEWAYS]; /* Once it is applied, the row's version. */
 byte writeAge[GATEWAYS];
-byte written[GATEWAYS];
 /* A write that timed out and may still be applied. */
 bool late[GATEWAYS];
 byte lateExpected[GATEWAYS];
+byte lateEra[GATEWAYS];
 
 byte lastOrderer = 0;
 byte orderAge = LEASE;
+byte lastTokenEra = 0;
+byte lastToken = 0;
 
-#define isOwn(g) (knownHolder[g] == g + 1)
+#ifdef MISSING_IS_FREE
 #define isFree(g) (knownVersion[g] == 0 || rowAge[g] >= TAKE)
+#else
+#define isFree(g) (rowAge[g] >= TAKE)
+#endif
+/* True if the store's row is the gateway's own to renew. */
+#ifdef ROW_OF_OLD_ERA
+#define isRenewable(g) (holders[version] == g + 1)
+#else
+#define isRenewable(g) (holders[version] == g + 1 && writtenIn[version] == knownEra[g])
+#endif
+#define mayWrite(g) (continuable[g] > 0 || isOwn[g] || isFree(g))
 #ifdef UNCHECKED
-#define isHeld(g) (isOwn(g) && known[g] && renewalAge[g] < OLDEST)
+#define isHeld(g) (isOwn[g] && tenure[g] != 0 && renewalAge[g] < OLDEST)
 #else
 #define isHeld(g) (renewalAge[g] < HOLD)
 #endif
+/* An answer to the write in flight proves that the lease is held. */
+#ifdef OLD_PROOF
+#define countsAsProof(g) true
+#define isProofInEra(g) true
+#else
+#define isProofInEra(g) (sentIn[g] == era)
+#define countsAsProof(g) (sentIn[g] == knownEra[g])
+#endif
 #ifdef UNCONDITIONAL
 #define matches(v) true
 #else
 #define matches(v) (version == v)
 #endif
+/* The gateways are alike, so the first write to be applied may always be that of the first one. */
+#define mayApply(g, v) (matches(v) && version < MOST_VERSIONS && (era > 0 || version > 0 || g == 0))
+#ifdef BARE_VERSION
+#define isTokenAtLeast(e, v) ((v) >= lastToken)
+#define isTokenAbove(e, v) ((v) > lastToken)
+#else
+#define isTokenAtLeast(e, v) ((e) > lastTokenEra || ((e) == lastTokenEra && (v) >= lastToken))
+#define isTokenAbove(e, v) ((e) > lastTokenEra || ((e) == lastTokenEra && (v) > lastToken))
+#endif
 
 inline older(age, most)
 {
@@ -70,26 +130,81 @@
 {
     older(orderAge, LEASE);
     for (i : 0 .. GATEWAYS - 1) {
-        older(rowAge[i], TAKE);
+        if
+        /* The age of an own row makes no difference. */
+        :: aged[i] && !isOwn[i] -> older(rowAge[i], TAKE)
+        :: else
+        fi;
         older(renewalAge[i], OLDEST);
         if
-        :: writing[i] != 0 -> older(writeAge[i], OLDEST)
+        :: continuable[i] > 0 -> continuable[i]--
+        :: else
+        fi;
+        if
+        :: writing[i] != 0 && countsAsProof(i) -> older(writeAge[i], OLDEST)
         :: else
         fi
     }
 }
 
+inline forgetProof(g)
+{
+    renewalAge[g] = OLDEST;
+    tenure[g] = 0
+}
+
+inline forgetRow(g)
+{
+    known[g] = false;
+    isOwn[g] = false
+}
+
+inline learnEra(g, e)
+{
+    if
+    :: e > knownEra[g] && (knownEra[g] > 0 || aged[g]) ->
+        knownEra[g] = e;
+        if
+#ifdef ANY_CONTINUES
+        :: tenure[g] != 0 -> continuable[g] = HOLD
+#else
+        :: renewalAge[g] < HOLD -> continuable[g] = HOLD - renewalAge[g]
+#endif
+        :: else
+        fi;
+        forgetProof(g);
+        forgetRow(g);
+#ifndef NO_ERA_WAIT
+        knownVersion[g] = 0;
+        aged[g] = true;
+        rowAge[g] = 0;
+#endif
+        if
+        :: !countsAsProof(g) -> writeAge[g] = 0
+        :: else
+        fi
+    :: e > knownEra[g] && knownEra[g] == 0 && !aged[g] -> knownEra[g] = e
+    :: else
+    fi
+}
+
 inline readRow(g)
 {
+    learnEra(g, era);
+    if
+    :: knownVersion[g] != version || !aged[g] -> rowAge[g] = 0
+    :: else
+    fi;
     if
-    :: knownVersion[g] != version -> rowAge[g] = 0
+    :: holders[version] != g + 1 || version < knownVersion[g] -> forgetProof(g)
     :: else
     fi;
+    aged[g] = true;
     known[g] = true;
     knownVersion[g] = version;
-    knownHolder[g] = holder;
+    isOwn[g] = isRenewable(g);
     if
-    :: holder != g + 1 -> renewalAge[g] = OLDEST
+    :: isOwn[g] -> rowAge[g] = 0
     :: else
     fi
 }
@@ -98,42 +213,110 @@
 inline forgetWrite(g)
 {
     writing[g] = 0;
+    sentIn[g] = 0;
     expected[g] = 0;
-    writeAge[g] = 0;
-    written[g] = 0
+    writeAge[g] = 0
+}
+
+inline applyWrite(g, e)
+{
+    version++;
+    holders[version] = g + 1;
+    writtenIn[version] = e
+}
+
+inline handleWritten(g)
+{
+#ifdef OLD_PROOF
+    learnEra(g, era);
+#endif
+    if
+    :: !countsAsProof(g) -> forgetRow(g)
+    :: else ->
+        knownVersion[g] = expected[g]; isOwn[g] = true; known[g] = true; aged[g] = true; rowAge[g] = 0;
+#ifdef FROM_ANSWER
+        renewalAge[g] = 0;
+#else
+        renewalAge[g] = writeAge[g];
+#endif
+        continuable[g] = 0;
+        if
+        :: tenure[g] == 0 -> tenure[g] = expected[g]
+        :: else
+        fi
+    fi;
+    forgetWrite(g)
+}
+
+/* Comes back from the copy with the row's version `v`. */
+inline restore(v)
+{
+    era++;
+    i = v + 1;
+    do
+    :: i <= MOST_VERSIONS -> holders[i] = 0; writtenIn[i] = 0; i++
+    :: else -> break
+    od;
+    i = 0;
+    version = v
 }
 
 inline giveOrder(g)
 {
     assert(lastOrderer == 0 || lastOrderer == g + 1 || orderAge >= LEASE);
+    assert(isTokenAtLeast(knownEra[g], tenure[g]));
+    assert(lastOrderer == 0 || lastOrderer == g + 1 || isTokenAbove(knownEra[g], tenure[g]));
     lastOrderer = g + 1;
+    lastTokenEra = knownEra[g];
+    lastToken = tenure[g];
     orderAge = 0
 }
 
+#ifdef RESTARTS
+inline restart(g)
+{
+    knownEra[g] = 0;
+    forgetRow(g);
+    aged[g] = false;
+    knownVersion[g] = 0;
+    rowAge[g] = 0;
+    forgetProof(g);
+    continuable[g] = 0;
+    if
+    :: writing[g] == 1 -> late[g] = true; lateExpected[g] = expected[g]; lateEra[g] = sentIn[g]
+    :: else
+    fi;
+    forgetWrite(g)
+}
+#endif
+
 inline step(g)
 {
     if
     :: writing[g] == 0 -> readRow(g)
-    :: writing[g] == 0 && known[g] && (isOwn(g) || isFree(g)) && version < MOST_VERSIONS ->
-        writing[g] = 1; expected[g] = knownVersion[g]; writeAge[g] = 0
-    :: writing[g] == 1 && matches(expected[g]) && version < MOST_VERSIONS ->
-        version++; holder = g + 1; written[g] = version; writing[g] = 2
-    :: writing[g] == 1 && !matches(expected[g]) -> writing[g] = 3
-    :: writing[g] == 2 ->
-        knownVersion[g] = written[g]; knownHolder[g] = g + 1; rowAge[g] = writeAge[g];
-#ifdef FROM_ANSWER
-        renewalAge[g] = 0;
-#else
-        renewalAge[g] = writeAge[g];
-#endif
-        forgetWrite(g)
+    :: knownEra[g] < era -> learnEra(g, knownEra[g] + 1) /* From an answer on another matter. */
+    :: writing[g] == 0 && known[g] && mayWrite(g) && version < MOST_VERSIONS ->
+        writing[g] = 1; sentIn[g] = knownEra[g]; expected[g] = knownVersion[g]
+    :: writing[g] == 1 && mayApply(g, expected[g]) ->
+        applyWrite(g, sentIn[g]);
+        if
+        :: isProofInEra(g) -> writing[g] = 2; expected[g] = version
+        :: forgetWrite(g); forgetRow(g) /* The answer is lost, or proves nothing. */
+        fi
+    :: writing[g] == 1 && !matches(expected[g]) -> forgetWrite(g); forgetRow(g) /* Rejected. */
+    :: writing[g] == 2 -> handleWritten(g)
+#ifndef NO_LATE
     :: writing[g] == 1 && !late[g] -> /* No answer in time. */
-        late[g] = true; lateExpected[g] = expected[g]; forgetWrite(g); known[g] = false
-    :: writing[g] >= 2 -> forgetWrite(g); known[g] = false /* The answer is lost. */
-    :: late[g] && matches(lateExpected[g]) && version < MOST_VERSIONS ->
-        late[g] = false; lateExpected[g] = 0; version++; holder = g + 1
-    :: late[g] -> late[g] = false; lateExpected[g] = 0
+        late[g] = true; lateExpected[g] = expected[g]; lateEra[g] = sentIn[g];
+        forgetWrite(g); forgetRow(g)
+    :: late[g] && mayApply(g, lateExpected[g]) ->
+        applyWrite(g, lateEra[g]); late[g] = false; lateExpected[g] = 0; lateEra[g] = 0
+    :: late[g] -> late[g] = false; lateExpected[g] = 0; lateEra[g] = 0
+#endif
     :: isHeld(g) -> giveOrder(g)
+#ifdef RESTARTS
+    :: knownEra[g] > 0 || aged[g] -> restart(g)
+#endif
     fi
 }
 
@@ -144,9 +327,13 @@
     for (i : 0 .. GATEWAYS - 1) {
         renewalAge[i] = OLDEST
     }
+    i = 0;
     do
     :: atomic { tick(); i = 0 }
     :: atomic { step(0) }
     :: atomic { step(1) }
+    :: atomic { era < MOST_ERAS && version > 0 -> restore(0) }
+    :: atomic { era < MOST_ERAS && version > 1 -> restore(1) }
+    :: atomic { era < MOST_ERAS && version > 2 -> restore(2) }
     od
 }
