JSON that nests too deeply is rejected before it is parsed

What could be seen: a datagram of 58 KB that nests 29,000 arrays used over 4 MB of stack, as copying a document takes stack for each level: with a stack of 4 MB or less the gateway ended (segmentation fault; with 8 MB it went on).

Cause: the parser needs no stack for depth, so nothing limited it; parts of messages are copied.

Ruled out: entries and configurations, which are read without copies (300,000 levels in an entry: the others stay in use); destruction, which is iterative.

Change: Utils::parseJson, for the platform's documents, datagrams and the lease row, rejects more than 64 levels by a scan of the text, so such a document costs no memory either.

Before: OddEntries.DeeplyNestedDatagramsDoNotEndTheGateway ended with a segmentation fault (stack of 2 MB). After: passes.

--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "peerlink.h"
 
 #include <net/reactor.h>
+#include <utils/jsonfield.h>
 
 #include <array>
 #include <cerrno>
@@ -44,10 +45,9 @@
                                           reinterpret_cast<sockaddr *>(&from), &length);
             if (count < 0)
                 return;
-            const auto message =
-                nlohmann::json::parse(buffer.data(), buffer.data() + count, nullptr, false);
-            if (message.is_object())
-                onMessage(message,
+            const auto message = Utils::parseJson({buffer.data(), static_cast<size_t>(count)});
+            if (message && message->is_object())
+                onMessage(*message,
                           Http1::SocketAddress::create(ntohl(from.sin_addr.s_addr),
                                                        ntohs(from.sin_port)));
         }
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -79,7 +79,7 @@
 
 auto PlacementLease::handleRow(const Row &row) -> void
 {
-    const json value = json::parse(row.value, nullptr, false);
+    const json value = Utils::parseJson(row.value).value_or(json());
     const auto address =
         Http1::SocketAddress::parse(Utils::fieldOr(value, "address", std::string()));
     const std::string name = Utils::fieldOr(value, "holder", std::string());
--- a/src/libs/utils/jsonfield.h
+++ b/src/libs/utils/jsonfield.h
@@ -6,10 +6,50 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace Utils {
 
+/// Depth of arrays and objects in each other beyond which a document is rejected: copying and
+/// writing one takes stack for each level.
+constexpr size_t MaxJsonDepth = 64;
+
+/// True if arrays and objects nest no deeper than `MaxJsonDepth`. The text need not be valid.
+inline auto isJsonDepthAllowed(std::string_view text) -> bool
+{
+    size_t depth = 0;
+    bool isInText = false;
+    for (size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (isInText) {
+            if (c == '\\')
+                ++i;
+            else if (c == '"')
+                isInText = false;
+        } else if (c == '"') {
+            isInText = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > MaxJsonDepth)
+                return false;
+        } else if ((c == ']' || c == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return true;
+}
+
+/// Parses JSON without exceptions; returns nothing if `text` is not valid JSON or nests too deeply.
+inline auto parseJson(std::string_view text) -> std::optional<nlohmann::json>
+{
+    if (!isJsonDepthAllowed(text))
+        return {};
+    auto document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded())
+        return {};
+    return document;
+}
+
 /// An integer type that JSON numbers are read as.
 template <typename Value>
 concept JsonInteger = std::integral<Value> && !std::same_as<Value, bool>;
--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -6,11 +6,31 @@
 #include <utils/eventlog.h>
 
 #include <arpa/inet.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace {
 
+/// Limits the stack to that of a thread on small systems.
+class SmallStack
+{
+public:
+    SmallStack()
+    {
+        getrlimit(RLIMIT_STACK, &m_former);
+        rlimit small = m_former;
+        small.rlim_cur = 2 << 20;
+        setrlimit(RLIMIT_STACK, &small);
+    }
+    ~SmallStack() { setrlimit(RLIMIT_STACK, &m_former); }
+    SmallStack(const SmallStack &) = delete;
+    auto operator=(const SmallStack &) -> SmallStack & = delete;
+
+private:
+    rlimit m_former = {};
+};
+
 class OddEntries : public Gateways
 {
 protected:
@@ -187,6 +207,25 @@
     EXPECT_EQ(lines, 1) << log;
 }
 
+// Guards against: a deeply nested datagram exhausts the stack and ends the process.
+TEST_F(OddEntries, DeeplyNestedDatagramsDoNotEndTheGateway)
+{
+    addEngine("e1", "app");
+    startReadyGateway();
+    ASSERT_TRUE(runUntil([&] { return !store->value("acaciahall", "placement").empty(); }));
+    wait(300ms);
+    const SmallStack stack;
+    constexpr size_t depth = 29000;
+    for (const char *kind : {"demand", "holder", "engine", "want", "limit", "strike"}) {
+        for (const char *field : {"demand", "seen", "lease", "members", "models", "name"})
+            sendDatagram("{\"kind\":\"" + std::string(kind) + "\",\"" + field
+                         + "\":" + nested(depth) + "}");
+    }
+    wait(200ms);
+    EXPECT_EQ(statusOf("/look/x"), 200);
+    EXPECT_TRUE(isFollowingTheList());
+}
+
 // Guards against: a caller's model name that is not UTF-8 ends the process, as it can't be sent to
 // the lease holder.
 TEST_F(OddEntries, ModelNameThatIsNotUtf8DoesNotEndTheGateway)
--- a/tests/auto/utils/tst_jsonfield.cpp
+++ b/tests/auto/utils/tst_jsonfield.cpp
@@ -42,3 +42,21 @@
     EXPECT_TRUE(fieldOr(document, "flag", false));
     EXPECT_EQ(fieldOr(document, "missing", 7), 7);
 }
+
+// Guards against: text that nests so deeply that copying or writing the document ends the process.
+TEST(JsonField, TextThatNestsTooDeeplyIsRejected)
+{
+    const auto nested = [](size_t depth) {
+        return std::string(depth, '[') + std::string(depth, ']');
+    };
+    EXPECT_TRUE(Utils::parseJson(nested(Utils::MaxJsonDepth)));
+    EXPECT_FALSE(Utils::parseJson(nested(Utils::MaxJsonDepth + 1)));
+    EXPECT_FALSE(Utils::parseJson(nested(1000000)));
+    EXPECT_FALSE(Utils::parseJson(std::string(1000000, '{')));
+    EXPECT_FALSE(Utils::parseJson("[[]"));
+    // Brackets in texts don't count, also after an escaped quotation mark.
+    const auto text = Utils::parseJson("[\"" + std::string(1000, '[') + "\\\"[\\\\\",[]]");
+    ASSERT_TRUE(text);
+    EXPECT_EQ(text->at(0).get<std::string>().size(), 1003);
+    EXPECT_TRUE(Utils::parseJson("[" + std::string(999, ' ') + "[],[],[]]"));
+}
