Odd numbers and types in a demand report are left out one by one

Change: DemandAggregator::update checks each entry's types and ranges and leaves out what can't be read; sums are bounded.

Before: DemandAggregator.OddEntriesOfAReportAreLeftOut (type_error.302 thrown) and SumsAreBounded (1e7 a second for a bound of 1e6) failed.

--- a/src/libs/gateway/demandaggregator.cpp
+++ b/src/libs/gateway/demandaggregator.cpp
@@ -1,5 +1,7 @@
 #include "demandaggregator.h"
 
+#include <utils/jsonfield.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -15,6 +17,32 @@
 constexpr std::chrono::milliseconds ReportLifetime(1500);
 /// A gateway without reports for this long gets no more updates.
 constexpr std::chrono::milliseconds GatewayLifetime(5000);
+/// Bounds of a report's numbers and of their sums.
+constexpr int MaxRequests = 1000000000;
+constexpr double MaxPerSecond = 1e6;
+constexpr double MaxWaitMs = 1e9;
+
+auto decodeAmount(const json &value, double maximum) -> std::optional<double>
+{
+    const auto number = value.is_number() ? value.get<double>() : -1;
+    return number >= 0 && number <= maximum ? std::optional(number) : std::nullopt;
+}
+
+auto decodeDemand(const json &entry) -> std::optional<ModelDemand>
+{
+    constexpr size_t fieldCount = 7;
+    if (!entry.is_array() || entry.size() != fieldCount || !entry[0].is_string()
+        || !entry[1].is_string() || !entry[2].is_string())
+        return {};
+    const auto waiting = Utils::wholeNumber<int>(entry[3], 0, MaxRequests);
+    const auto running = Utils::wholeNumber<int>(entry[4], 0, MaxRequests);
+    const auto perSecond = decodeAmount(entry[5], MaxPerSecond);
+    const auto longestWaitMs = decodeAmount(entry[6], MaxWaitMs);
+    if (!waiting || !running || !perSecond || !longestWaitMs)
+        return {};
+    return ModelDemand{
+        {entry[0], entry[1], entry[2]}, *waiting, *running, *perSecond, *longestWaitMs};
+}
 
 } // namespace
 
@@ -30,21 +58,13 @@
 auto DemandAggregator::update(const Http1::SocketAddress &gateway, const json &demand,
                               TimePoint now) -> bool
 {
-    constexpr size_t fieldCount = 7;
     const bool isNew = m_reports.count(gateway) == 0;
     Report &report = m_reports[gateway];
     report.at = now;
     report.demand.clear();
     for (const json &entry : demand) {
-        if (!entry.is_array() || entry.size() != fieldCount)
-            continue;
-        ModelDemand decoded;
-        decoded.key = {entry[0], entry[1], entry[2]};
-        decoded.waiting = entry[3];
-        decoded.running = entry[4];
-        decoded.perSecond = entry[5];
-        decoded.longestWaitMs = entry[6];
-        report.demand.push_back(std::move(decoded));
+        if (auto decoded = decodeDemand(entry))
+            report.demand.push_back(std::move(*decoded));
     }
     return isNew;
 }
@@ -69,9 +89,9 @@
     const auto add = [&sums](const std::vector<ModelDemand> &list) {
         for (const ModelDemand &entry : list) {
             TotalDemand &sum = sums[entry.key];
-            sum.waiting += entry.waiting;
-            sum.running += entry.running;
-            sum.perSecond += entry.perSecond;
+            sum.waiting = std::min(sum.waiting + entry.waiting, MaxRequests);
+            sum.running = std::min(sum.running + entry.running, MaxRequests);
+            sum.perSecond = std::min(sum.perSecond + entry.perSecond, MaxPerSecond);
             sum.longestWaitMs = std::max(sum.longestWaitMs, entry.longestWaitMs);
         }
     };
--- a/src/libs/gateway/demandaggregator.h
+++ b/src/libs/gateway/demandaggregator.h
@@ -22,8 +22,8 @@
     /// Serializes a gateway's own demand for its report.
     static auto toJson(const std::vector<ModelDemand> &demand) -> nlohmann::json;
 
-    /// Stores a gateway's report; returns true if the gateway was unknown. Throws on fields of a
-    /// wrong type.
+    /// Stores a gateway's report without the entries that can't be read; returns true if the
+    /// gateway was unknown.
     auto update(const Http1::SocketAddress &gateway, const nlohmann::json &demand,
                 Utils::TimePoint now) -> bool;
     auto removeExpired(Utils::TimePoint now) -> void;
