--- a/src/libs/gateway/quotaledger.cpp
+++ b/src/libs/gateway/quotaledger.cpp
@@ -198,10 +198,12 @@
     const auto found = m_buckets.find(customer);
     if (found == m_buckets.end())
         return;
-    refill(found->second, now);
-    found->second.level += amount;
-    found->second.borrowed += amount;
-    found->second.received += amount;
+    Bucket &bucket = found->second;
+    refill(bucket, now);
+    const double granted = std::min(amount, bucket.burst);
+    bucket.level += granted;
+    bucket.borrowed += granted;
+    bucket.received += granted;
 }
 
 auto QuotaLedger::costOf(const Customer &customer, bool hasTokenCount, double tokens) const
--- a/tests/auto/gateway/tst_quotaledger.cpp
+++ b/tests/auto/gateway/tst_quotaledger.cpp
@@ -214,3 +214,24 @@
     }
     EXPECT_LE(consumed, (rate * Utils::toSeconds(window) + burst) * (1 + share));
 }
+
+// Guards against: a grant in a message that is larger than the contract lifts the limit.
+TEST(QuotaLedger, GrantIsNoMoreThanTheContractsBurst)
+{
+    auto ledgers = makeLedgers(2, 1000, 800);
+    for (int i = 0; i < 3; ++i)
+        ledgers[0].addGrant("county", 1e308, start);
+    double consumed = 0;
+    while (consumed < 10000 && ledgers[0].tryConsume("county", 100, start))
+        consumed += 100;
+    EXPECT_LE(consumed, 800 / 2 + 3 * 800);
+}
+
+// Guards against: a contract with hardly any rate makes the time until a retry overflow.
+TEST(QuotaLedger, RetryTimeOfATinyRateIsBounded)
+{
+    auto ledgers = makeLedgers(2, 1e-300, 800);
+    const auto wait = ledgers[0].reserveForRetry("county", 1e6, start);
+    EXPECT_GT(wait, 24h);
+    EXPECT_LT(wait, 24h * 366);
+}
