--- a/tests/auto/platform/soak/configurationhistory.h
+++ b/tests/auto/platform/soak/configurationhistory.h
@@ -24,6 +24,9 @@
     /// Returns since when the route or key has been present without interruption; nothing if it is
     /// removed or not listed.
     auto presentSince(const std::string &name) const -> std::optional<Utils::TimePoint>;
+    /// The same for a route or key that has never been removed: whoever knows it knows that
+    /// version.
+    auto neverRemovedSince(const std::string &name) const -> std::optional<Utils::TimePoint>;
     auto removedSince(const std::string &name) const -> std::optional<Utils::TimePoint>;
     /// Picks a listed route or key, half of the time one that changed recently; empty if there is
     /// none.
@@ -33,6 +36,7 @@
     struct Entry
     {
         bool isPresent = false;
+        bool wasRemoved = false;
         Utils::TimePoint since;
     };
 
--- a/tests/auto/platform/soak/invariantchecker.h
+++ b/tests/auto/platform/soak/invariantchecker.h
@@ -31,6 +31,10 @@
     auto noteProcessDisturbed(size_t gateway) -> void;
     /// A fault affects the store or anything else that all gateways depend on.
     auto noteAllDisturbed(Utils::TimePoint now) -> void;
+    /// The store came back from a copy of that age, without what was written since.
+    auto noteStoreBack(std::chrono::milliseconds age, Utils::TimePoint now) -> void;
+    /// Operator and engines have written again what the store had lost.
+    auto noteLostRowsWritten(Utils::TimePoint now) -> void;
     /// The link between an engine and all gateways is cut, delayed or reset.
     auto noteLinkDisturbed(const std::string &engine, Utils::TimePoint now) -> void;
     auto noteSent(const Attempt &attempt) -> void;
@@ -77,6 +81,19 @@
         std::string holder;
         Utils::TimePoint at;
     };
+    /// The newest configuration whose effect an engine saw, by when it was written.
+    struct NewestEffect
+    {
+        Utils::TimePoint writtenAt;
+        Utils::TimePoint seenAt;
+    };
+    /// A time in which the store lacked configurations written after `copiedAt`.
+    struct Copy
+    {
+        Utils::TimePoint copiedAt;
+        Utils::TimePoint backAt;
+        Utils::TimePoint rewrittenAt;
+    };
 
     /// True if nothing has disturbed the gateway in the last `StableWindow` before `since`.
     auto isStable(size_t gateway, Utils::TimePoint since) const -> bool;
@@ -85,6 +102,14 @@
     auto checkSuccess(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
     /// True if the gateway must have applied a change made at `since` when the attempt was sent.
     auto mustBeApplied(const Attempt &attempt, std::optional<Utils::TimePoint> since) const -> bool;
+    /// True if the gateway has already shown a newer configuration than the one that changed a name
+    /// at `since`, in the same process, some time before the attempt.
+    auto hasShownNewer(const Attempt &attempt, std::optional<Utils::TimePoint> since) const -> bool;
+    auto noteEffect(const Attempt &attempt, Utils::TimePoint now) -> void;
+    /// True if the gateway may have read its first configuration from a copy without that change.
+    auto mayHaveStartedFromCopy(size_t gateway, Utils::TimePoint since) const -> bool;
+    auto checkFence(const std::string &engine, const std::string &holder, std::uint64_t fence,
+                    Utils::TimePoint now) -> void;
     auto countCheckable(const Attempt &attempt) -> void;
     auto checkDenial(const Attempt &attempt, int status, Utils::TimePoint now) -> void;
     auto checkRun(Record &record, Utils::TimePoint now) -> void;
@@ -105,12 +130,18 @@
     std::vector<Utils::TimePoint> m_processStartedAt; ///< By gateway.
     std::map<std::string, Quota> m_quotas;
     std::map<std::string, LastOrder> m_orders; ///< By engine.
+    std::map<std::string, std::uint64_t> m_highestFence; ///< By engine.
+    std::map<std::uint64_t, std::string> m_fenceHolders;
+    std::vector<NewestEffect> m_newestEffects; ///< By gateway, of its present process.
+    std::vector<Copy> m_copies;
     RateLimitChecker m_rateLimits;
     std::map<std::string, std::string> m_namedLimits; ///< By engine and incarnation.
     std::map<std::string, std::string> m_incarnations; ///< Newest of each engine.
     std::map<std::string, int> m_outcomes;
     int m_checkedPresent = 0; ///< Names used after their addition, or removal, had to be applied.
     int m_checkedRemoved = 0;
+    int m_orderCount = 0;
+    int m_changesOfHolder = 0; ///< Between two orders to one engine.
     /// Longest time for which an undisturbed gateway has denied something that was in force.
     Utils::Duration m_longestDenial{0};
     std::vector<std::string> m_violations;
--- a/tests/auto/platform/soak/soakdeployment.cpp
+++ b/tests/auto/platform/soak/soakdeployment.cpp
@@ -181,6 +181,17 @@
     return gateway.process->start(isFirstStart);
 }
 
+auto SoakDeployment::leaseHolder() const -> size_t
+{
+    const json row = json::parse(m_store->value("acaciahall", "placement"), nullptr, false);
+    const std::string holder = row.is_object() ? row.value("holder", std::string()) : std::string();
+    for (size_t i = 0; i < m_gateways.size(); ++i) {
+        if (m_gateways[i].process->endpoints().name == holder)
+            return i;
+    }
+    return 0;
+}
+
 auto SoakDeployment::checkProcesses() -> void
 {
     for (size_t i = 0; i < m_gateways.size(); ++i) {
--- a/tests/auto/platform/soak/soakdeployment.h
+++ b/tests/auto/platform/soak/soakdeployment.h
@@ -76,6 +76,8 @@
     auto isBurstActive() const -> bool { return m_isBurstActive; }
     /// Restarts the engine under another name, as a new engine at the same address.
     auto replaceEngine(size_t index) -> void;
+    /// Index of the gateway that the store's row names as holder of the placement lease; 0 if none.
+    auto leaseHolder() const -> size_t;
     /// Reports gateways that exited unexpectedly.
     auto checkProcesses() -> void;
 
