--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -430,6 +430,53 @@
     EXPECT_EQ(fixture.falseConfirmations, 0);
 }
 
+// An answer of the new era to a query that named a version of the earlier one lacks what was
+// written up to that number.
+TEST(TableFollower, AnswerToAQueryOfAnEarlierEraHidesNoChange)
+{
+    FollowerFixture fixture;
+    fixture.hasPeers = false;
+    for (int i = 0; i < 20; ++i)
+        fixture.store.put("k" + std::to_string(i), "old");
+    fixture.start();
+    fixture.advance(1s);
+    fixture.store.queryTime = 500ms;
+    fixture.requestConfirmation();
+    fixture.store.queryTime = 0ms;
+    fixture.store.restoreCopy(10);
+    fixture.advance(400ms);
+    ASSERT_TRUE(fixture.isCurrent());
+    fixture.store.answerTime = 2s;
+    for (int i = 0; i < 30; ++i)
+        fixture.store.put("n" + std::to_string(i), "new");
+    fixture.store.answerTime = 4ms;
+    fixture.advance(200ms);
+    EXPECT_EQ(fixture.falseConfirmations, 0);
+    fixture.advance(3s);
+    EXPECT_TRUE(fixture.isCurrent());
+    EXPECT_EQ(fixture.falseConfirmations, 0);
+}
+
+// An answer of an earlier era without changes says nothing about the copy that was read since.
+TEST(TableFollower, LateAnswerOfAnEarlierEraConfirmsNothing)
+{
+    FollowerFixture fixture;
+    fixture.hasPeers = false;
+    for (int i = 0; i < 20; ++i)
+        fixture.store.put("k" + std::to_string(i), "old");
+    fixture.start();
+    fixture.advance(1s);
+    fixture.store.answerTime = 900ms;
+    fixture.requestConfirmation();
+    fixture.advance(10ms);
+    fixture.store.answerTime = 4ms;
+    fixture.store.restoreCopy(10);
+    fixture.advance(400ms);
+    ASSERT_TRUE(fixture.isCurrent());
+    fixture.advance(2s);
+    EXPECT_EQ(fixture.falseConfirmations, 0);
+}
+
 // For any sequence of answer times, lost queries, repeated queries and returns of the store from a
 // copy, the copy never reverts to older rows of one era, and equals the table again soon after the
 // store recovers.
--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -284,3 +284,36 @@
     lease.handleRow({{}, {StoreEra(1), 0}, StoreEra(1)}, now + 2s);
     EXPECT_EQ(lease.tick(now + Constants::TakeoverTimeout), LeaseStep::Write);
 }
+
+// The fencing token is the tenure: an order that was formed before a renewal bears the same one as
+// the next order.
+TEST(LeaderLease, RenewalsKeepTheTenure)
+{
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    LeaderLease lease("a");
+    lease.handleRow({{}, {StoreEra(1), 0}, StoreEra(1)}, now);
+    lease.handleWritten({StoreEra(1), 10}, StoreEra(1), now, now);
+    const auto tenure = lease.tenure();
+    now += 1s;
+    lease.handleWritten({StoreEra(1), 14}, StoreEra(1), now, now);
+    EXPECT_EQ(lease.tenure(), tenure);
+    EXPECT_EQ(lease.version().number, 14U);
+}
+
+// Rows and reports of an earlier era that arrive late, and reports of an era that the store has not
+// named yet, neither replace the row nor restart the wait.
+TEST(LeaderLease, RowsOfOtherErasChangeNothing)
+{
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    LeaderLease lease("b");
+    lease.handleRow({"b", {StoreEra(1), 9}, StoreEra(1)}, now);
+    lease.handleRow({"a", {StoreEra(2), 4}, StoreEra(1)}, now);
+    lease.handleRow({"b", {StoreEra(1), 10}, StoreEra(1)}, now + 1s);
+    EXPECT_EQ(lease.version(), (StoreVersion{StoreEra(2), 4}));
+    lease.handleReport({"c", {StoreEra(1), 11}, StoreEra(1)}, now + 1s);
+    EXPECT_EQ(lease.version(), (StoreVersion{StoreEra(2), 4}));
+    lease.handleReport({"c", {StoreEra(3), 11}, StoreEra(3)}, now + 1s);
+    EXPECT_EQ(lease.version(), (StoreVersion{StoreEra(2), 4}));
+    EXPECT_EQ(lease.holder(), "a");
+    EXPECT_EQ(lease.tick(now + Constants::TakeoverTimeout), LeaseStep::Write);
+}
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -92,7 +92,7 @@
         settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.metricsAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
-        settings.storeAddress = store->address();
+        settings.storeAddress = storeLink.value_or(store->address());
         settings.isFirstStart = isFirstStart;
         settings.retryRatio = 0.2;
         settings.retrySlack = retrySlack;
@@ -201,6 +201,7 @@
     Platform::PlatformWireFormat wire;
     std::unique_ptr<Platform::RowStoreClient> rows;
     std::unique_ptr<Gateway::GatewayServer> gateway;
+    std::optional<Http1::SocketAddress> storeLink; ///< How the next gateway reaches the store.
     Http1::SocketAddress address;
     Http1::SocketAddress readiness;
     Http1::SocketAddress peers; ///< Where the gateway receives datagrams of other gateways.
--- a/tests/auto/shared/slowrowstore.h
+++ b/tests/auto/shared/slowrowstore.h
@@ -20,6 +20,7 @@
     /// Transfer time of an answer with rows that has the link to itself; concurrent answers share
     /// the link.
     std::chrono::milliseconds transferTime{0};
+    std::chrono::milliseconds queryTime{0}; ///< Until a later query for changes reaches the store.
     bool dropsQueries = false; ///< Later queries get no answer and time out in the client.
     bool isHistoryGone = false; ///< Queries for changes fail with `HistoryGone`.
 
@@ -100,17 +101,12 @@
         ++m_calls;
         if (dropsQueries)
             return failAfterTimeout(wait, std::move(done));
-        if (isHistoryGone || after.number > m_version) {
-            m_scheduler.callAfter(answerTime, [done = std::move(done)] {
-                done(tl::unexpected(Gateway::StoreError::HistoryGone));
+        if (queryTime == std::chrono::milliseconds(0))
+            return answerQuery(after, wait, std::move(progress), std::move(done));
+        m_scheduler.callAfter(
+            queryTime, [this, after, wait, progress = std::move(progress), done = std::move(done)] {
+                answerQuery(after, wait, progress, done);
             });
-            return;
-        }
-        if (m_version > after.number)
-            return answer(changesAfter(after.number), std::move(progress), std::move(done));
-        const int id = m_nextLongPollId++;
-        m_longPolls[id] = {after.number, std::move(progress), std::move(done)};
-        m_scheduler.callAfter(wait, [this, id] { answerLongPoll(id); });
     }
 
     auto write(const std::string &, const std::string &, const Utils::StoreVersion &,
@@ -145,6 +141,22 @@
         std::function<void()> deliver;
     };
 
+    auto answerQuery(const Utils::StoreVersion &after, std::chrono::milliseconds wait,
+                     ProgressCallback progress, RowsCallback done) -> void
+    {
+        if (isHistoryGone || after.number > m_version) {
+            m_scheduler.callAfter(answerTime, [done = std::move(done)] {
+                done(tl::unexpected(Gateway::StoreError::HistoryGone));
+            });
+            return;
+        }
+        if (m_version > after.number)
+            return answer(changesAfter(after.number), std::move(progress), std::move(done));
+        const int id = m_nextLongPollId++;
+        m_longPolls[id] = {after.number, std::move(progress), std::move(done)};
+        m_scheduler.callAfter(wait, [this, id] { answerLongPoll(id); });
+    }
+
     auto changesAfter(std::uint64_t after) const -> Gateway::RowSet
     {
         Gateway::RowSet set;
