--- a/tests/auto/platform/tst_storecopy.cpp
+++ b/tests/auto/platform/tst_storecopy.cpp
@@ -1,89 +1,7 @@
-// Gateways before a store that comes back from a copy: what it has acknowledged since is gone, and
-// versions of rows are given out again.
+// What gateways know of the configuration, of servers and of each other after the store came back
+// from a copy.
 
-#include "gatewayfixture.h"
-
-namespace {
-
-class StoreBackFromACopy : public Gateways
-{
-protected:
-    struct Member
-    {
-        std::unique_ptr<Platform::RowStoreClient> rows;
-        std::unique_ptr<Gateway::GatewayServer> server;
-        Http1::SocketAddress callers;
-    };
-
-    struct SentOrder
-    {
-        std::string holder;
-        std::uint64_t fence = 0;
-        Utils::TimePoint at;
-    };
-
-    auto startGateways(int count) -> void
-    {
-        for (int i = 0; i < count; ++i) {
-            startReadyGateway("g" + std::to_string(i));
-            members.push_back({std::move(rows), std::move(gateway), address});
-        }
-    }
-
-    auto watchOrders(EmulatedEngine &engine) -> void
-    {
-        engine.observer.onOrder = [this](const EmulatedEngine &, const auto &order) {
-            orders.push_back({order.holder, order.fence, loop->now()});
-        };
-    }
-
-    auto wait(std::chrono::milliseconds time) -> void
-    {
-        const auto from = loop->now();
-        runUntil([&] { return loop->now() - from >= time; }, time + 1s);
-    }
-
-    /// Writes rows that gateways don't follow, so that the store's version rises.
-    auto raiseVersion(int by) -> void
-    {
-        for (int i = 0; i < by; ++i)
-            store->put("other", "row", std::to_string(i));
-    }
-
-    /// A configuration whose safe route has another prefix.
-    auto putRoute(int version, const std::string &prefix) -> void
-    {
-        putConfiguration(version);
-        json configuration = json::parse(store->value("op", "config"));
-        configuration["routes"][0]["prefix"] = prefix;
-        store->put("op", "config", configuration.dump());
-    }
-
-    /// Sends requests for the model until the holder of the lease has sent an order.
-    auto requestModel(const std::string &model) -> void
-    {
-        const size_t before = orders.size();
-        ASSERT_TRUE(runUntil(
-            [&] {
-                sendRequest(makeRequest(
-                    "/draft/x",
-                    model + "-" + std::to_string(loop->now().time_since_epoch().count()),
-                    "Model: " + model + "\r\nToken-Count: 10,10\r\n"));
-                return orders.size() > before;
-            },
-            12s));
-    }
-
-    auto statusOf(const std::string &target, const std::string &id) -> int
-    {
-        return sendRequest(makeRequest(target, id))->status;
-    }
-
-    std::vector<Member> members;
-    std::vector<SentOrder> orders;
-};
-
-} // namespace
+#include "storecopyfixture.h"
 
 // Guards against a configuration that is never taken (issue 32, CONFIG): a follower that names
 // states by their versions alone drops changes until the store's counter has passed its old value.
@@ -122,52 +40,6 @@
     EXPECT_TRUE(runUntil([this] { return statusOf("/third/x", "b") == 200; }, 3s));
 }
 
-// Guards against two holders (issue 32, ONE): the fencing token is the version of the lease's row,
-// which is lower in the copy.
-TEST_F(StoreBackFromACopy, FencingTokensNeverFall)
-{
-    auto &engine = addEngine("i-1", "lm", {"m1"});
-    watchOrders(engine);
-    startGateways(2);
-    wait(1500ms);
-    raiseVersion(100);
-    wait(600ms);
-    requestModel("m1/a1");
-    store->restoreCopy(1s);
-    store->rewriteLost();
-    wait(1500ms);
-    requestModel("m1/a2");
-    for (size_t i = 1; i < orders.size(); ++i)
-        EXPECT_GE(orders[i].fence, orders[i - 1].fence) << i;
-}
-
-// Guards against orders of two holders (issue 32, ONE): the lease's row is gone, so another gateway
-// takes the lease while the former holder still relies on its last renewal.
-TEST_F(StoreBackFromACopy, HoldersOrdersStayApart)
-{
-    auto &engine = addEngine("i-1", "lm", {"m1"});
-    watchOrders(engine);
-    const auto copiedAt = loop->now();
-    wait(10ms);
-    startGateways(1);
-    wait(1500ms);
-    requestModel("m1/a1");
-    // The former holder is cut off: it renews no more, and nobody receives its messages.
-    members.clear();
-    const auto lastOrder = orders.back();
-    store->restoreCopy(
-        std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - copiedAt));
-    store->rewriteLost();
-    isFirstStart = false;
-    startReadyGateway("other");
-    requestModel("m1/a2");
-    const auto next = std::find_if(orders.begin(), orders.end(),
-                                   [](const auto &order) { return order.holder == "other"; });
-    ASSERT_NE(next, orders.end());
-    EXPECT_GE(next->at - lastOrder.at, 3s);
-    EXPECT_GT(next->fence, lastOrder.fence);
-}
-
 // Guards against a customer's quota being exceeded (issue 32, review): the lease learns of the new
 // era before the followers do, and the holder counts only the gateways whose rows the copy has.
 TEST_F(StoreBackFromACopy, GatewayWhoseRowIsLostStillCounts)
@@ -261,3 +133,45 @@
     store->setMode(EmulatedStore::Mode::Normal);
     EXPECT_TRUE(runUntil([this] { return statusOf("/look/x", "c") == 200; }, 4s));
 }
+
+// A server that is leaving looks ready in the copy until it writes again.
+TEST_F(StoreBackFromACopy, LeavingServerGetsNoRequestsAfterACopy)
+{
+    auto &leaving = addEngine("i-1", "app");
+    auto &other = addEngine("i-2", "app");
+    startGateways(2);
+    wait(200ms);
+    leaving.announce("draining");
+    wait(1s);
+    store->restoreCopy(1100ms);
+    wait(100ms);
+    const int before = leaving.runs();
+    for (int i = 0; i < 20; ++i) {
+        address = members.at(static_cast<size_t>(i) % members.size()).callers;
+        EXPECT_EQ(statusOf("/look/x", "q" + std::to_string(i)), 200) << i;
+    }
+    EXPECT_EQ(leaving.runs(), before);
+    EXPECT_GE(other.runs(), 20);
+    store->rewriteLost();
+}
+
+// Requests go on while the copy lacks the servers' rows, until the servers have written them again.
+TEST_F(StoreBackFromACopy, LostRowsOfServersRefuseNoRequest)
+{
+    wait(50ms);
+    const auto copiedAt = loop->now();
+    wait(10ms);
+    addEngine("i-1", "app");
+    startGateways(2);
+    wait(300ms);
+    store->restoreCopy(
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - copiedAt));
+    for (int i = 0; i < 40; ++i) {
+        if (i == 20)
+            store->rewriteLost();
+        address = members.at(static_cast<size_t>(i) % members.size()).callers;
+        EXPECT_EQ(statusOf("/file/x", "q" + std::to_string(i)), 200) << i;
+        wait(20ms);
+    }
+    EXPECT_EQ(engines.front()->runs(), 40);
+}
--- a/tests/auto/shared/slowrowstore.h
+++ b/tests/auto/shared/slowrowstore.h
@@ -21,6 +21,7 @@
     /// Transfer time of an answer with rows that has the link to itself; concurrent answers share
     /// the link.
     std::chrono::milliseconds transferTime{0};
+    std::chrono::milliseconds queryTime{0}; ///< Until a later query for changes reaches the store.
     bool dropsQueries = false; ///< Later queries get no answer and time out in the client.
     bool isHistoryGone = false; ///< Queries for changes fail with `HistoryGone`.
 
@@ -108,23 +109,17 @@
         -> CallId override
     {
         const CallId call = ++m_calls;
-        if (dropsQueries) {
+        if (dropsQueries)
             failAfterTimeout(call, wait, std::move(done));
-            return call;
-        }
-        if (isHistoryGone || after.number > m_version) {
-            m_scheduler.callAfter(answerTime, [this, call, done = std::move(done)] {
-                if (!isAbandoned(call))
-                    done(tl::unexpected(Gateway::StoreError::HistoryGone));
-            });
-            return call;
-        }
-        if (m_version > after.number) {
-            answer(call, changesAfter(after.number), std::move(progress), std::move(done));
-            return call;
-        }
-        m_longPolls[call] = {after.number, std::move(progress), std::move(done)};
-        m_scheduler.callAfter(wait, [this, call] { answerLongPoll(call); });
+        else if (queryTime == std::chrono::milliseconds(0))
+            answerQuery(call, after, wait, std::move(progress), std::move(done));
+        else
+            m_scheduler.callAfter(
+                queryTime,
+                [this, call, after, wait, progress = std::move(progress), done = std::move(done)] {
+                    if (!isAbandoned(call))
+                        answerQuery(call, after, wait, progress, done);
+                });
         return call;
     }
 
@@ -169,6 +164,22 @@
         std::function<void()> deliver;
     };
 
+    auto answerQuery(CallId call, const Utils::StoreVersion &after, std::chrono::milliseconds wait,
+                     ProgressCallback progress, RowsCallback done) -> void
+    {
+        if (isHistoryGone || after.number > m_version) {
+            m_scheduler.callAfter(answerTime, [this, call, done = std::move(done)] {
+                if (!isAbandoned(call))
+                    done(tl::unexpected(Gateway::StoreError::HistoryGone));
+            });
+            return;
+        }
+        if (m_version > after.number)
+            return answer(call, changesAfter(after.number), std::move(progress), std::move(done));
+        m_longPolls[call] = {after.number, std::move(progress), std::move(done)};
+        m_scheduler.callAfter(wait, [this, call] { answerLongPoll(call); });
+    }
+
     auto changesAfter(std::uint64_t after) const -> Gateway::RowSet
     {
         Gateway::RowSet set;
