--- a/src/libs/gateway/crashtracker.cpp
+++ b/src/libs/gateway/crashtracker.cpp
@@ -43,8 +43,13 @@
         const std::string crash = backendId + '@' + std::to_string(lost.startedAtMs);
         m_suspects.recordCrash(lost.fingerprint, crash, now);
         m_broadcast({{"kind", StrikeKind}, {"fingerprint", lost.fingerprint}, {"crash", crash}});
-        Utils::logEvent(Utils::Event::CrashSuspected,
-                        {{"server", backendId}, {"fingerprint", lost.fingerprint}});
+        Utils::logEvent(
+            Utils::Event::CrashSuspected,
+            {{"server", backendId},
+             {"startedAtMs", lost.startedAtMs},
+             {"fingerprint", lost.fingerprint},
+             {"lostAgoMs",
+              std::chrono::duration_cast<std::chrono::milliseconds>(now - lost.at).count()}});
     }
     m_lost.erase(found);
 }
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -33,6 +33,16 @@
 
 constexpr int FirstServerError = 500;
 
+/// Names of the prompt's parts, for the log, except for the last one: it is the request's own.
+auto sharedPartNames(const CallerRequest &request) -> std::vector<std::string>
+{
+    constexpr size_t maxNames = 8;
+    std::vector<std::string> names;
+    for (size_t i = 0; i + 1 < request.promptParts.size() && i < maxNames; ++i)
+        names.push_back(request.promptParts[i].id);
+    return names;
+}
+
 } // namespace
 
 auto RequestFlow::handleHead(const BackendAnswer &answer) -> void
@@ -113,12 +123,17 @@
         break;
     }
     ++m_possibleRuns;
+    const auto sinceFirstEvent = m_firstEventAt == Utils::TimePoint()
+        ? -1
+        : duration_cast<milliseconds>(m_context.reactor.now() - m_firstEventAt).count();
     Utils::logEvent(
         Utils::Event::StreamEnded,
         {{"request", m_request.attemptId},
          {"server", m_attempt->backendId()},
          {"reason", outcome == AttemptEnd::Lost ? "lost_before_answer" : "broken_answer"},
-         {"answerBegun", m_answerBegun}});
+         {"answerBegun", m_answerBegun},
+         {"sinceFirstEventMs", sinceFirstEvent},
+         {"sharedParts", sharedPartNames(m_request)}});
     m_context.onSuspect(m_attempt->backendId(), m_fingerprint);
     m_triedServers.insert(m_attempt->backendId());
     m_context.pool.closeIdleConnections(m_attempt->backendId());
