--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -25,9 +25,10 @@
     Net::Reactor::TimerId connectTimer = 0;
     bool ended = false;
 
-    auto handleHead(const Http1::ResponseHead &head) -> bool
+    auto handleHead(const Http1::ResponseHead &head, Http1::Framing framing) -> bool
     {
-        const BackendAnswer answer = context->wire.parseAnswer(head);
+        BackendAnswer answer = context->wire.parseAnswer(head);
+        answer.endsWithConnection = framing == Http1::Framing::UntilClose;
         // A late answer to an earlier request may arrive on this connection. Servers name the
         // request that they answer, so an answer without a name is rejected on a reused connection.
         const bool isUnnamed = answer.attemptId.empty() && !attemptId.empty();
@@ -153,8 +154,8 @@
             });
     }
     Http1::ClientConnection::CallEvents callEvents;
-    callEvents.onHead = [d = data.get()](const Http1::ResponseHead &head, Http1::Framing) {
-        return d->handleHead(head);
+    callEvents.onHead = [d = data.get()](const Http1::ResponseHead &head, Http1::Framing framing) {
+        return d->handleHead(head, framing);
     };
     callEvents.onBody = [d = data.get()](std::string_view chunk) {
         if (!d->ended)
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -80,6 +80,12 @@
 constexpr std::chrono::milliseconds StreamIdleTimeout(1500);
 /// The same timeout before the first event, in latency objectives.
 constexpr double FirstEventTimeoutObjectives = 2.5;
+/// Time from the first event of a stream during which a crash of its server may be due to it.
+constexpr std::chrono::milliseconds AnswerBeginningTime(200);
+/// Delay after the loss of a connection before another one shows whether the server still listens,
+/// and the time allowed for that.
+constexpr std::chrono::milliseconds CrashProbeDelay(50);
+constexpr std::chrono::milliseconds CrashProbeTimeout(300);
 /// A request that finds too little quota waits for grants from other gateways: for its latency
 /// objective divided by this number, and no longer than a few round trips.
 constexpr int QuotaWaitDivisor = 8;
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -3,13 +3,15 @@
 #include "configuration.h"
 #include "ratelimittable.h"
 
-#include <routing/crashsuspects.h>
+#include <routing/crashfeature.h>
 #include <routing/retrybudget.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Monitoring {
 class Metrics;
@@ -28,6 +30,7 @@
 class PermitExchange;
 class QuotaLedger;
 class RequestQueue;
+class SuspectExchange;
 class WireFormat;
 
 /// State that all requests of one gateway share.
@@ -46,9 +49,15 @@
         configuration; ///< Null until the first one has been received.
     std::map<std::string, Routing::RetryBudget> retryBudgets; ///< By service.
     std::function<Routing::RetryBudget()> makeRetryBudget;
-    Routing::CrashSuspects crashSuspects;
-    std::function<void(const std::string &backendId, const std::string &fingerprint)> onSuspect;
-
+    /// A request that a backend server lost; that incarnation of the server may have crashed.
+    struct LostRequest
+    {
+        std::string backendId;
+        std::int64_t startedAtMs = 0;
+        std::vector<Routing::CrashFeature> features;
+        bool isCutOff = true; ///< Not an answer that may be complete.
+    };
+    std::function<void(const LostRequest &)> onRequestLost = nullptr;
     /// Called when a server announces in an answer that it is leaving. `startedAtMs` is the Unix
     /// time at which the server was started.
     std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onLeaving = nullptr;
@@ -58,6 +67,7 @@
     bool isStopping = false; ///< New requests are refused.
     RateLimitTable rateLimits = {}; ///< Named by backend servers.
     PermitExchange *permits = nullptr; ///< Set before the first request arrives.
+    SuspectExchange *suspects = nullptr; ///< Set before the first request arrives.
 
     auto retryBudget(const std::string &service) -> Routing::RetryBudget &
     {
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -4,6 +4,7 @@
 #include "backendregistry.h"
 #include "callersession.h"
 #include "connectionpool.h"
+#include "connectprobe.h"
 #include "crashtracker.h"
 #include "demandtracker.h"
 #include "denialcheck.h"
@@ -21,6 +22,7 @@
 #include "rowstore.h"
 #include "stalenessdetector.h"
 #include "statusserver.h"
+#include "suspectexchange.h"
 #include "tablefollower.h"
 #include "wireformat.h"
 
@@ -74,8 +76,8 @@
                           s.configurationApplyTime * Constants::ConfirmationLifetimeShare),
                       {[this] { configurationFollower->requestConfirmation(); },
                        [this] { return Utils::bootTime() - reactor.now(); }})
-        , context{r,           w,       registry, pool, quota,   requestQueue, demand,
-                  denialCheck, metrics, nullptr,  {},   nullptr, {},           nullptr}
+        , context{r,      w,           registry, pool,    quota, requestQueue,
+                  demand, denialCheck, metrics,  nullptr, {},    nullptr}
     { }
 
     Net::Reactor &reactor;
@@ -89,8 +91,11 @@
     DemandTracker demand;
     DenialCheck denialCheck;
     GatewayContext context;
-    CrashTracker crashTracker{context.crashSuspects,
-                              [this](const nlohmann::json &message) { broadcast(message); }};
+    CrashTracker crashTracker{[this](const std::string &crash, Utils::TimePoint at,
+                                     const CrashTracker::Features &features) {
+        suspects->noteCrash(crash, at, features);
+    }};
+    std::map<std::string, std::unique_ptr<ConnectProbe>> crashProbes; ///< By server.
     LeavingNotifier leavingNotifier{registry,
                                     {[this](const nlohmann::json &message) { broadcast(message); },
                                      [this](const std::string &id) {
@@ -105,6 +110,7 @@
     std::unique_ptr<PlacementCoordinator> placement;
     std::unique_ptr<QuotaExchange> quotaExchange;
     std::unique_ptr<PermitExchange> permits;
+    std::unique_ptr<SuspectExchange> suspects;
     std::unique_ptr<Http1::TcpListener> callerListener;
     std::unique_ptr<StatusServer> readinessServer;
     std::unique_ptr<StatusServer> metricsServer;
@@ -169,7 +175,7 @@
             reactor, settings.peerAddress,
             [this](const nlohmann::json &message, const Http1::SocketAddress &sender) {
                 if (!quotaExchange->takeMessage(message, sender)
-                    && !crashTracker.handleMessage(message, reactor.now())
+                    && !suspects->handleMessage(message, sender)
                     && !leavingNotifier.handleMessage(message)
                     && !permits->handleMessage(message, sender))
                     placement->handleMessage(message, sender);
@@ -270,6 +276,14 @@
                 },
                 [] { return Utils::bootTime(); }},
             [this] { requestQueue.wake(); });
+        suspects = std::make_unique<SuspectExchange>(
+            reactor, settings.peerAddress,
+            SuspectExchange::Transport{
+                [this] { return placement->knownPeers(); },
+                [this](const Http1::SocketAddress &peer, const nlohmann::json &message) {
+                    link->send(peer, message);
+                }});
+        context.suspects = suspects.get();
         registry.setSendAllowance(permits.get());
         context.permits = permits.get();
         context.onModelNeeded = [this] { placement->requestUpdate(); };
@@ -395,6 +409,39 @@
         limitRetries();
     }
 
+    auto handleRequestLost(const GatewayContext::LostRequest &lost) -> void
+    {
+        // Servers that are leaving may end at any time.
+        const BackendServer *server = registry.find(lost.backendId);
+        if (server && server->isLeaving)
+            return;
+        crashTracker.noteConnectionLost(lost.backendId, lost.startedAtMs, lost.features,
+                                        reactor.now());
+        if (server && lost.isCutOff && server->startedAtMs == lost.startedAtMs)
+            probeAfterLoss(*server);
+    }
+
+    /// Learns from a new connection whether the server has crashed or has closed one connection.
+    auto probeAfterLoss(const BackendServer &server) -> void
+    {
+        if (!crashProbes.try_emplace(server.id).second)
+            return;
+        reactor.callAfter(
+            Constants::CrashProbeDelay,
+            [this, id = server.id, address = server.address, startedAtMs = server.startedAtMs] {
+                crashProbes[id] = ConnectProbe::start(
+                    reactor, address, Constants::CrashProbeTimeout,
+                    [this, id, startedAtMs](ConnectProbe::Outcome outcome) {
+                        // Deferred, as the probe is inside its callback.
+                        reactor.callAfter(milliseconds(0), [this, id] { crashProbes.erase(id); });
+                        if (outcome == ConnectProbe::Outcome::Refused)
+                            crashTracker.noteRefusal(id, startedAtMs, reactor.now());
+                        else if (outcome == ConnectProbe::Outcome::Accepted)
+                            crashTracker.noteAccepted(id);
+                    });
+            });
+    }
+
     /// Sends a message to all other gateways, twice, as datagrams may be lost.
     auto broadcast(const nlohmann::json &message) -> void
     {
@@ -491,10 +538,8 @@
     d->context.onLeaving = [d](const std::string &backendId, std::int64_t startedAtMs) {
         d->leavingNotifier.noteAnswer(backendId, startedAtMs);
     };
-    d->context.onSuspect = [d](const std::string &backendId, const std::string &fingerprint) {
-        const BackendServer *server = d->registry.find(backendId);
-        d->crashTracker.noteConnectionLost(backendId, server ? server->startedAtMs : 0, fingerprint,
-                                           d->reactor.now());
+    d->context.onRequestLost = [d](const GatewayContext::LostRequest &lost) {
+        d->handleRequestLost(lost);
     };
     if (const auto error = d->open())
         return tl::unexpected(*error);
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -8,6 +8,7 @@
 #include "quotaledger.h"
 #include "requestflow.h"
 #include "requestqueue.h"
+#include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
 #include <monitoring/metrics.h>
@@ -97,8 +98,35 @@
     m_lastEventAt = now;
     m_caller->write(out);
     // Comments show that the connection is alive, but not that the engine makes progress.
-    if (hasNewEvent)
-        startSilenceTimer();
+    if (!hasNewEvent)
+        return;
+    startSilenceTimer();
+    if (!m_attemptBegunAt)
+        m_attemptBegunAt = now;
+    if (hasOutlivedBeginning())
+        noteSurvived();
+}
+
+auto RequestFlow::hasOutlivedBeginning() const -> bool
+{
+    return m_attemptBegunAt
+        && m_context.reactor.now() - *m_attemptBegunAt >= Constants::AnswerBeginningTime;
+}
+
+auto RequestFlow::noteSurvived() -> void
+{
+    if (m_hasNotedSurvival)
+        return;
+    m_hasNotedSurvival = true;
+    m_context.suspects->noteSurvived(m_features);
+}
+
+/// Notes that the server may have crashed on the request.
+auto RequestFlow::noteLost(bool isCutOff) -> void
+{
+    if (!hasOutlivedBeginning())
+        m_context.onRequestLost(
+            {m_attempt->backendId(), m_serverStartedAtMs, m_features, isCutOff});
 }
 
 auto RequestFlow::handleEnd(AttemptEnd outcome) -> void
@@ -134,7 +162,7 @@
          {"answerBegun", m_answerBegun},
          {"sinceFirstEventMs", sinceFirstEvent},
          {"sharedParts", sharedPartNames(m_request)}});
-    m_context.onSuspect(m_attempt->backendId(), m_fingerprint);
+    noteLost(true);
     m_triedServers.insert(m_attempt->backendId());
     m_context.pool.closeIdleConnections(m_attempt->backendId());
     endAttempt(SendOutcome::Failed);
@@ -150,6 +178,11 @@
         || m_splitter.hasPartialEvent();
     const bool isError = m_answer.status >= FirstServerError;
     const std::string server = m_attempt->backendId();
+    // A crash may end such an answer as well.
+    if (m_answer.endsWithConnection)
+        noteLost(m_splitter.hasPartialEvent() || !m_attemptBegunAt);
+    else if (!isMalformed)
+        noteSurvived();
     endAttempt(isMalformed || isError ? SendOutcome::Failed : SendOutcome::Good);
     if (isMalformed) {
         m_triedServers.insert(server);
@@ -164,7 +197,6 @@
         m_answer = answer;
         m_body = body;
     }
-    m_context.crashSuspects.noteFinished(m_fingerprint);
     Http1::ServerConnection *caller = m_caller;
     const bool begun = m_answerBegun;
     // The caller would take such a status as a statement that the request has not run.
@@ -225,7 +257,7 @@
 
 auto RequestFlow::mayRepeatNow() const -> bool
 {
-    return m_route->mayRepeat() && m_possibleRuns < m_route->maxServers
+    return !isSuspect() && m_route->mayRepeat() && m_possibleRuns < m_route->maxServers
         && timeLeft() > Constants::AnswerMargin * 2;
 }
 
@@ -321,6 +353,8 @@
                      {"configurationAgeMs", age ? duration_cast<milliseconds>(*age).count() : -1},
                      {"firstEventMs", since(m_firstEventAt)},
                      {"longestPauseMs", duration_cast<milliseconds>(m_longestPause).count()},
+                     {"crashFeature", m_verdict ? m_verdict->feature.toString() : std::string()},
+                     {"crashes", m_verdict ? m_verdict->crashes : 0},
                      {"tookMs", since(now)}});
 }
 
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -7,6 +7,7 @@
 #include "permitexchange.h"
 #include "quotaledger.h"
 #include "requestqueue.h"
+#include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
 #include <monitoring/metrics.h>
@@ -110,12 +111,13 @@
         refuse(RefusalReason::NoBackendServer);
         return false;
     }
-    m_fingerprint =
-        std::to_string(Utils::stableHash((m_customer ? m_customer->name : std::string()) + '\n'
-                                         + m_request.target + '\n' + m_request.body));
-    if (m_context.crashSuspects.suspicionOf(m_fingerprint, m_arrivedAt)
-        == Routing::Suspicion::Refused) {
-        refuse(RefusalReason::CrashSuspect);
+    std::vector<std::string> parts;
+    for (const PromptPart &part : m_request.promptParts)
+        parts.push_back(part.id);
+    m_features = Routing::crashFeaturesOf(m_customer ? m_customer->name : std::string(),
+                                          m_request.target, m_request.body, parts);
+    if (isSuspect()) {
+        refuseSuspect();
         return false;
     }
     return true;
@@ -372,6 +374,10 @@
         handleCallerDisconnect();
         return true;
     }
+    if (isSuspect()) {
+        refuseSuspect();
+        return true;
+    }
     const auto id = m_context.board.choose(requirements(), m_context.reactor.now());
     if (!id)
         return false;
@@ -379,6 +385,20 @@
     return true;
 }
 
+auto RequestFlow::isSuspect() const -> bool
+{
+    return m_context.suspects->findVerdict(m_features).has_value();
+}
+
+/// Refuses a request with a feature that crashes servers.
+auto RequestFlow::refuseSuspect() -> void
+{
+    m_verdict = m_context.suspects->findVerdict(m_features);
+    if (m_verdict)
+        m_context.suspects->noteRefused(m_verdict->feature);
+    refuse(m_possibleRuns > 0 ? RefusalReason::BackendFailed : RefusalReason::CrashSuspect);
+}
+
 auto RequestFlow::requirements() const -> BackendRequirements
 {
     BackendRequirements requirements;
@@ -410,6 +430,9 @@
                                    (m_customer ? m_customer->priority : 0) * perCustomerRank
                                        + m_route->priority + (toleratesDelay ? 1 : 0));
     }
+    m_serverStartedAtMs = server.startedAtMs;
+    m_attemptBegunAt.reset();
+    m_hasNotedSurvival = false;
     m_hasHead = false;
     m_answer = {};
     m_body.clear();
@@ -427,7 +450,7 @@
     events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs] {
         if (timeLeft() <= Constants::AnswerMargin || m_caller->clientHasDisconnected())
             return false;
-        m_isHeldBack = !maySendNow(id, startedAtMs);
+        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs);
         if (m_isHeldBack)
             return false;
         noteWritten(id, startedAtMs);
@@ -452,9 +475,11 @@
     return !m_context.rateLimits.find(serverId, startedAtMs);
 }
 
-/// Logs which sends reach a server that has named a limit, and what was known then.
+/// Uses up what allowed the request, and logs which sends reach a server that has named a limit,
+/// and what was known then.
 auto RequestFlow::noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void
 {
+    m_context.suspects->noteWritten(m_features);
     const RateLimit *limit = m_context.rateLimits.find(serverId, startedAtMs);
     if (!limit)
         return;
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -8,6 +8,8 @@
 
 #include <admission/refusal.h>
 #include <net/reactor.h>
+#include <routing/crashfeature.h>
+#include <routing/crashverdicts.h>
 #include <utils/timepoint.h>
 
 #include <functional>
@@ -65,6 +67,8 @@
     auto handlePermitRefused(const std::string &server, Utils::Duration delay) -> void;
     auto maySendNow(const std::string &serverId, std::int64_t startedAtMs) const -> bool;
     auto trySend() -> bool;
+    auto isSuspect() const -> bool;
+    auto refuseSuspect() -> void;
     auto send(const BackendServer &server) -> void;
 
     auto noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void;
@@ -74,6 +78,11 @@
     auto handleEnd(AttemptEnd outcome) -> void;
     auto handleComplete() -> void;
     auto handleNotRun() -> void;
+    /// True if the answer to the current attempt has begun long enough ago that the server did not
+    /// crash on the request.
+    auto hasOutlivedBeginning() const -> bool;
+    auto noteSurvived() -> void;
+    auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> void;
     auto startSilenceTimer() -> void;
@@ -103,7 +112,8 @@
     const Customer *m_customer = nullptr;
     std::string m_service;
     bool m_needsModel = false;
-    std::string m_fingerprint;
+    std::vector<Routing::CrashFeature> m_features;
+    std::optional<Routing::CrashVerdict> m_verdict; ///< That the request is refused for.
     ModelKey m_modelKey;
 
     Utils::TimePoint m_arrivedAt;
@@ -127,6 +137,9 @@
     double m_charged = 0;
 
     std::unique_ptr<BackendAttempt> m_attempt;
+    std::int64_t m_serverStartedAtMs = 0; ///< Of the current attempt's server.
+    std::optional<Utils::TimePoint> m_attemptBegunAt; ///< First event of the current attempt.
+    bool m_hasNotedSurvival = false;
     std::vector<std::unique_ptr<BackendAttempt>> m_endedAttempts;
     BackendAnswer m_answer;
     bool m_hasHead = false;
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -83,6 +83,7 @@
     /// say so; 0 if it accepts none.
     std::optional<double> rateLimit;
     bool hasMalformedRateLimit = false;
+    bool endsWithConnection = false; ///< Nothing but the connection's end shows where it ends.
     bool isEncoded = false; ///< An intermediary has encoded the body.
     std::optional<std::string> actualServerId;
     std::optional<BackendLoad> load;
--- a/src/libs/routing/routingconstants.h
+++ b/src/libs/routing/routingconstants.h
@@ -1,11 +1,21 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 
 namespace Routing::Constants {
 
 /// Crashes after which a request is refused everywhere.
 constexpr int MaxCrashes = 2;
+/// Crashes after which a part of prompts is refused everywhere. Requests that have nothing to do
+/// with a crash share parts, so this is more than for a whole request.
+constexpr int MaxCrashesOfPart = 3;
+/// Crashes of several servers within this time may have a common cause.
+constexpr std::chrono::milliseconds CommonCauseWindow(300);
+/// After these times from a verdict on, one request in the whole fleet shows whether the verdict
+/// still holds. The platform allows three requests in all.
+constexpr std::array<std::chrono::seconds, 2> TrialDelays = {std::chrono::seconds(10),
+                                                             std::chrono::seconds(60)};
 /// Crash records expire after this time, so that one faulty server can't block a request forever.
 constexpr std::chrono::minutes CrashRecordLifetime(30);
 /// Fraction of a retry that each request earns, and the maximum number saved up.
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -176,6 +176,12 @@
          "A submission may have run; it will not be run again."},
         {Event::CrashSuspected, "crash-suspected",
          "A request was in flight when its backend server crashed."},
+        {Event::CrashVerdictGiven, "crash-verdict-given",
+         "Requests with this feature crash backend servers; all gateways refuse them."},
+        {Event::CrashVerdictEnded, "crash-verdict-ended",
+         "A request with the feature was answered; such requests are sent again."},
+        {Event::CrashTrialAllowed, "crash-trial-allowed",
+         "One request with a refused feature may show whether it still crashes servers."},
         {Event::DutyTaken, "duty-taken", "This process holds a shared duty's lease."},
         {Event::DutyLost, "duty-lost", "This process no longer holds a shared duty's lease."},
     };
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -56,6 +56,9 @@
     SubmissionRecorded = 600,
     SubmissionUnknown = 601,
     CrashSuspected = 602,
+    CrashVerdictGiven = 603,
+    CrashVerdictEnded = 604,
+    CrashTrialAllowed = 605,
     DutyTaken = 700,
     DutyLost = 701,
 };
