--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -8,6 +8,7 @@
 #include "quotaledger.h"
 #include "requestflow.h"
 #include "requestqueue.h"
+#include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
 #include <monitoring/metrics.h>
@@ -33,6 +34,16 @@
 
 constexpr int FirstServerError = 500;
 
+/// Names of the prompt's parts, for the log, except for the last one: it is the request's own.
+auto sharedPartNames(const CallerRequest &request) -> std::vector<std::string>
+{
+    constexpr size_t maxNames = 8;
+    std::vector<std::string> names;
+    for (size_t i = 0; i + 1 < request.promptParts.size() && i < maxNames; ++i)
+        names.push_back(request.promptParts[i].id);
+    return names;
+}
+
 } // namespace
 
 auto RequestFlow::handleHead(const BackendAnswer &answer) -> void
@@ -105,11 +116,38 @@
     m_lastEventAt = now;
     m_caller->write(out);
     // Comments show that the connection is alive, but not that the engine makes progress.
-    if (hasNewEvent)
-        startSilenceTimer();
+    if (!hasNewEvent)
+        return isValid;
+    startSilenceTimer();
+    if (!m_attemptBegunAt)
+        m_attemptBegunAt = now;
+    if (hasOutlivedBeginning())
+        noteSurvived();
     return isValid;
 }
 
+auto RequestFlow::hasOutlivedBeginning() const -> bool
+{
+    return m_attemptBegunAt
+        && m_context.reactor.now() - *m_attemptBegunAt >= Constants::AnswerBeginningTime;
+}
+
+auto RequestFlow::noteSurvived() -> void
+{
+    if (m_hasNotedSurvival)
+        return;
+    m_hasNotedSurvival = true;
+    m_context.suspects->noteSurvived(m_features);
+}
+
+/// Notes that the server may have crashed on the request.
+auto RequestFlow::noteLost(bool isCutOff) -> void
+{
+    if (!hasOutlivedBeginning())
+        m_context.onRequestLost(
+            {m_attempt->backendId(), m_serverStartedAtMs, m_features, isCutOff});
+}
+
 auto RequestFlow::handleEnd(AttemptEnd outcome) -> void
 {
     const auto self = shared_from_this();
@@ -132,13 +170,18 @@
         break;
     }
     ++m_possibleRuns;
+    const auto sinceFirstEvent = m_firstEventAt == Utils::TimePoint()
+        ? -1
+        : duration_cast<milliseconds>(m_context.reactor.now() - m_firstEventAt).count();
     Utils::logEvent(
         Utils::Event::StreamEnded,
         {{"request", m_request.attemptId},
          {"server", m_attempt->backendId()},
          {"reason", outcome == AttemptEnd::Lost ? "lost_before_answer" : "broken_answer"},
-         {"answerBegun", m_answerBegun}});
-    m_context.onSuspect(m_attempt->backendId(), m_fingerprint);
+         {"answerBegun", m_answerBegun},
+         {"sinceFirstEventMs", sinceFirstEvent},
+         {"sharedParts", sharedPartNames(m_request)}});
+    noteLost(true);
     m_triedServers.insert(m_attempt->backendId());
     m_context.pool.closeIdleConnections(m_attempt->backendId());
     endAttempt(SendOutcome::Failed);
@@ -152,11 +195,13 @@
     ++m_possibleRuns;
     const bool isMalformed = m_answer.isEncoded || (m_answer.isSuccess() && !m_answer.isSigned)
         || m_splitter.hasPartialEvent();
-    // A crashing server's machine may end its connections in an orderly way.
-    if (m_splitter.hasPartialEvent())
-        m_context.onSuspect(m_attempt->backendId(), m_fingerprint);
     const bool isError = m_answer.status >= FirstServerError;
     const std::string server = m_attempt->backendId();
+    // A crash may end such an answer as well, as a machine may end connections in an orderly way.
+    if (m_answer.endsWithConnection || m_splitter.hasPartialEvent())
+        noteLost(m_splitter.hasPartialEvent() || !m_attemptBegunAt);
+    else if (!isMalformed)
+        noteSurvived();
     endAttempt(isMalformed || isError ? SendOutcome::Failed : SendOutcome::Good);
     if (isMalformed || isEmptyContinuation()) {
         m_triedServers.insert(server);
@@ -171,7 +216,6 @@
         m_answer = answer;
         m_body = body;
     }
-    m_context.crashSuspects.noteFinished(m_fingerprint);
     Http1::ServerConnection *caller = m_caller;
     const bool begun = m_answerBegun;
     // The caller would take such a status as a statement that the request has not run.
@@ -238,8 +282,8 @@
 auto RequestFlow::mayRepeatNow() const -> bool
 {
     // Another server can't be told to go on after events without an id.
-    return m_route->mayRepeat() && !m_hasEventsWithoutId && m_possibleRuns < m_route->maxServers
-        && timeLeft() > Constants::AnswerMargin * 2;
+    return !isSuspect() && m_route->mayRepeat() && !m_hasEventsWithoutId
+        && m_possibleRuns < m_route->maxServers && timeLeft() > Constants::AnswerMargin * 2;
 }
 
 auto RequestFlow::requestRetry(const char *reason) -> bool
@@ -334,6 +378,8 @@
                      {"configurationAgeMs", age ? duration_cast<milliseconds>(*age).count() : -1},
                      {"firstEventMs", since(m_firstEventAt)},
                      {"longestPauseMs", duration_cast<milliseconds>(m_longestPause).count()},
+                     {"crashFeature", m_verdict ? m_verdict->feature.toString() : std::string()},
+                     {"crashes", m_verdict ? m_verdict->crashes : 0},
                      {"tookMs", since(now)}});
 }
 
