--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -8,6 +8,8 @@
 
 #include <admission/refusal.h>
 #include <net/reactor.h>
+#include <routing/crashfeature.h>
+#include <routing/crashverdicts.h>
 #include <utils/timepoint.h>
 
 #include <functional>
@@ -65,6 +67,8 @@
     auto handlePermitRefused(const std::string &server, Utils::Duration delay) -> void;
     auto maySendNow(const std::string &serverId, std::int64_t startedAtMs) const -> bool;
     auto trySend() -> bool;
+    auto isSuspect() const -> bool;
+    auto refuseSuspect() -> void;
     auto send(const BackendServer &server) -> void;
 
     auto noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void;
@@ -75,6 +79,11 @@
     auto handleComplete() -> void;
     auto handleNotRun() -> void;
     auto isEmptyContinuation() const -> bool;
+    /// True if the answer to the current attempt has begun long enough ago that the server did not
+    /// crash on the request.
+    auto hasOutlivedBeginning() const -> bool;
+    auto noteSurvived() -> void;
+    auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> bool;
     auto mayRelay(const StreamEvent &event) const -> bool;
@@ -105,7 +114,8 @@
     const Customer *m_customer = nullptr;
     std::string m_service;
     bool m_needsModel = false;
-    std::string m_fingerprint;
+    std::vector<Routing::CrashFeature> m_features;
+    std::optional<Routing::CrashVerdict> m_verdict; ///< That the request is refused for.
     ModelKey m_modelKey;
 
     Utils::TimePoint m_arrivedAt;
@@ -129,6 +139,9 @@
     double m_charged = 0;
 
     std::unique_ptr<BackendAttempt> m_attempt;
+    std::int64_t m_serverStartedAtMs = 0; ///< Of the current attempt's server.
+    std::optional<Utils::TimePoint> m_attemptBegunAt; ///< First event of the current attempt.
+    bool m_hasNotedSurvival = false;
     std::vector<std::unique_ptr<BackendAttempt>> m_endedAttempts;
     BackendAnswer m_answer;
     bool m_hasHead = false;
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -84,6 +84,22 @@
     }
 
     auto startGateway(const std::string &name = "g1") -> void
+    {
+        rows =
+            std::make_unique<Platform::RowStoreClient>(*loop, storeLink.value_or(store->address()));
+        auto created = createGateway(name);
+        // Tests that run at the same time may take a free port before the gateway does.
+        constexpr int maxRepeats = 4;
+        for (int i = 0; i < maxRepeats && !created
+             && created.error().find("Address already in use") != std::string::npos;
+             ++i)
+            created = createGateway(name);
+        ASSERT_TRUE(created) << created.error();
+        gateway = std::move(*created);
+    }
+
+    auto createGateway(const std::string &name)
+        -> Utils::Result<std::unique_ptr<Gateway::GatewayServer>, std::string>
     {
         Gateway::GatewaySettings settings;
         settings.name = name;
@@ -92,7 +108,7 @@
         settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.metricsAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
-        settings.storeAddress = store->address();
+        settings.storeAddress = storeLink.value_or(store->address());
         settings.isFirstStart = isFirstStart;
         settings.retryRatio = 0.2;
         settings.retrySlack = retrySlack;
@@ -100,10 +116,7 @@
         readiness = settings.readinessAddress;
         peers = settings.peerAddress;
         metrics = *settings.metricsAddress;
-        rows = std::make_unique<Platform::RowStoreClient>(*loop, settings.storeAddress);
-        auto created = Gateway::GatewayServer::create(*loop, settings, *rows, wire);
-        ASSERT_TRUE(created) << created.error();
-        gateway = std::move(*created);
+        return Gateway::GatewayServer::create(*loop, settings, *rows, wire);
     }
 
     auto startReadyGateway(const std::string &name = "g1") -> void
@@ -201,6 +214,7 @@
     Platform::PlatformWireFormat wire;
     std::unique_ptr<Platform::RowStoreClient> rows;
     std::unique_ptr<Gateway::GatewayServer> gateway;
+    std::optional<Http1::SocketAddress> storeLink; ///< How the next gateway reaches the store.
     Http1::SocketAddress address;
     Http1::SocketAddress readiness;
     Http1::SocketAddress peers; ///< Where the gateway receives datagrams of other gateways.
