--- a/tests/auto/platform/tst_storecopyholders.cpp
+++ b/tests/auto/platform/tst_storecopyholders.cpp
@@ -140,3 +140,22 @@
     EXPECT_GT(orders.size(), before);
     expectOneHolderAtATime();
 }
+
+// Guards against a lower fencing token (issue 32, ONE): the duty was taken at a high version, and
+// the copy is from before it.
+TEST_F(StoreBackFromACopy, FencingTokenRisesAlthoughVersionsFall)
+{
+    watchOrders(addEngine("i-1", "lm", {"m1"}));
+    const auto copiedAt = loop->now();
+    wait(10ms);
+    raiseVersion(100);
+    startGateways(1);
+    requestModel("m1/a1");
+    const auto first = orders.back().fence;
+    store->restoreCopy(
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - copiedAt));
+    store->rewriteLost();
+    wait(1s);
+    requestModel("m1/a2");
+    EXPECT_GT(orders.back().fence, first);
+}
