The rule parser builds for release

cmake -DCMAKE_BUILD_TYPE=Release failed in ruleparser.cpp under -Werror=restrict, a false alarm of g++ 12 on a literal before a string. The text is put together without it; the library builds at -O3. The warning stays on.

--- a/src/libs/rules/ruleparser.cpp
+++ b/src/libs/rules/ruleparser.cpp
@@ -34,7 +34,9 @@
         if (m_error)
             return;
         const int column = atEnd() ? m_line.endColumn : m_line.words[m_next].column;
-        const std::string found = atEnd() ? "the end of the line" : "\"" + peek() + "\"";
+        std::string found = "the end of the line";
+        if (!atEnd())
+            found = std::string(1, '"').append(peek()).append(1, '"');
         m_error =
             RuleError{m_lineNumber, column, expected, found, Utils::nearMatch(peek(), candidates)};
     }
