--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -16,6 +16,7 @@
 #include <utils/jsonfield.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
@@ -44,6 +45,8 @@
 constexpr milliseconds MaxLeaseDelay(700);
 /// A holder without messages for this long may be gone; other gateways then check the lease.
 constexpr milliseconds HolderTimeout(1200);
+/// Time in which gateways that start together have written their rows.
+constexpr milliseconds RosterRepeatDelay(300);
 /// Interval between renewals of the lease; two may fail before the holder stops sending orders.
 constexpr milliseconds RenewInterval(500);
 /// A holder that could not renew the lease for this long sends no more orders.
@@ -88,6 +91,7 @@
     std::map<std::string, Utils::StoreVersion> rowVersions; ///< Of the gateways' rows, by name.
     std::set<std::string> registering; ///< Gateways whose rows are being written.
     bool isRosterRead = false; ///< Since the lease was acquired.
+    bool isRosterRepeated = false; ///< The rows are read again until a holder is known.
     std::optional<Utils::StoreEra> knownEra; ///< The newest one, whichever answer named it first.
     /// The store may lack gateways' rows until they have reported again.
     TimePoint rosterIsCompleteAt;
@@ -173,12 +177,29 @@
             lease->handleMissingRow(answer.version.era);
         roster.reset(names, now());
         isRosterRead = true;
-        if (rowVersions.count(own.name) == 0)
+        if (rowVersions.count(own.name) == 0) {
             registerGateway(own.name, own.address);
+            if (!std::exchange(isRosterRepeated, true))
+                readRowsAgainWithoutHolder(RosterRepeatDelay);
+        }
         announceGateways();
         tick();
     }
 
+    /// The other gateways may be missing from the table as well, and are about to write their rows.
+    /// Until a holder announces their number, it has to be counted.
+    auto readRowsAgainWithoutHolder(milliseconds delay) -> void
+    {
+        context.reactor.callAfter(delay, [self = shared_from_this()] {
+            const bool isCounted = self->isHolder || self->announcedGateways > 0;
+            self->isRosterRepeated = !self->stopped && !isCounted;
+            if (!self->isRosterRepeated)
+                return;
+            self->readRows();
+            self->readRowsAgainWithoutHolder(HolderTimeout);
+        });
+    }
+
     auto registerGateway(const std::string &name, const Http1::SocketAddress &address) -> void
     {
         if (!registering.insert(name).second)
@@ -188,9 +209,20 @@
                         self->registering.erase(name);
                         if (answer)
                             self->rowVersions[name] = *answer;
+                        else if (answer.error() == StoreError::Unavailable
+                                 && name == self->own.name)
+                            self->registerAgainLater();
                     });
     }
 
+    auto registerAgainLater() -> void
+    {
+        context.reactor.callAfter(HolderTimeout, [self = shared_from_this()] {
+            if (!self->stopped)
+                self->registerGateway(self->own.name, self->own.address);
+        });
+    }
+
     auto announceGateways() -> void
     {
         coordinationEvents.onGatewayCount(std::max(gatewayCount(), 1));
@@ -251,6 +283,9 @@
         if (!lease->isHeld())
             resetHolderState();
         rosterIsCompleteAt = now() + Constants::GatewaySilenceTimeout;
+        // A gateway that starts now counts the rows to find its part of the quotas.
+        rowVersions.clear();
+        registerGateway(own.name, own.address);
         lease->handleEra(era);
         tick();
     }
--- a/tests/auto/platform/tst_storecopy.cpp
+++ b/tests/auto/platform/tst_storecopy.cpp
@@ -175,3 +175,19 @@
     }
     EXPECT_EQ(engines.front()->runs(), 40);
 }
+
+// Guards against a customer's quota being exceeded (issue 32, soak seed 3216): a gateway that
+// starts after the copy counts the rows of the others, which only the holder wrote again.
+TEST_F(StoreBackFromACopy, GatewayWritesItsLostRowAgainWithoutAHolder)
+{
+    isFirstStart = false;
+    const auto copiedAt = loop->now();
+    wait(10ms);
+    startGateways(1);
+    ASSERT_TRUE(runUntil([this] { return !store->value("acaciahall", "gateway/g0").empty(); }));
+    store->restoreCopy(
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop->now() - copiedAt));
+    ASSERT_TRUE(store->value("acaciahall", "gateway/g0").empty());
+    store->rewriteLost();
+    EXPECT_TRUE(runUntil([this] { return !store->value("acaciahall", "gateway/g0").empty(); }, 1s));
+}
