--- a/src/libs/utils/jsonfield.h
+++ b/src/libs/utils/jsonfield.h
@@ -79,7 +79,8 @@
         return wholeNumber<Integer>(value);
     // The limits as floating-point numbers; the upper one is rounded up to a power of two.
     constexpr auto minimum = static_cast<double>(std::numeric_limits<Integer>::min());
-    constexpr auto maximum = static_cast<double>(std::numeric_limits<Integer>::max() / 2 + 1) * 2;
+    constexpr Integer half = std::numeric_limits<Integer>::max() / 2 + 1;
+    constexpr auto maximum = static_cast<double>(half) * 2;
     const auto number = value.get<double>();
     if (!(number >= minimum && number < maximum))
         return {};
--- a/src/libs/utils/storeversion.h
+++ b/src/libs/utils/storeversion.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace Utils {
 
@@ -16,7 +16,14 @@
     StoreEra era{};
     std::uint64_t number = 0; ///< 0 while there is no such row.
 
-    auto operator<=>(const StoreVersion &) const = default;
+    auto operator==(const StoreVersion &) const -> bool = default;
+    auto operator<(const StoreVersion &other) const -> bool
+    {
+        return std::tie(era, number) < std::tie(other.era, other.number);
+    }
+    auto operator>(const StoreVersion &other) const -> bool { return other < *this; }
+    auto operator<=(const StoreVersion &other) const -> bool { return !(other < *this); }
+    auto operator>=(const StoreVersion &other) const -> bool { return !(*this < other); }
 };
 
 } // namespace Utils
