A holder that goes on in a new era keeps its fencing token

What callers saw: after the store came back from a copy, one gateway sent orders under two fencing tokens. An order that was under way bore the lower one, and could arrive after one with the higher.

Cause: the token is the version of a tenure's first write, and a new era ended each tenure, also that of the holder whose lease was valid and which wrote its row again without a gap.

Why this works: era and number of the first write name a tenure for ever, so there is no need for a new name. All others wait in a new era until a valid lease has ended; the condition on the row's version excludes a holder in between. A lease that ended before the write, or a row that another one wrote in the new era, ends the tenure as before; the next holder's token is of a later version.

Ruled out: raising the token with each order (a late order is the same fault then); dropping the valid lease in a new era (no orders for 4.7 s at each copy, and the late order remains).

FencingTokenRisesAlthoughVersionsFall expected the same of one gateway; it expects the same token while that gateway goes on (the copy lacks the lease's row), and a higher one from the next gateway.

--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -29,7 +29,7 @@
 
 auto LeaderLease::mayWrite(TimePoint now) const -> bool
 {
-    if (now < m_continuableUntil)
+    if (isContinuable(now))
         return true;
     const bool isMissing = m_row.version.number == 0;
     // A row of this process from an earlier era may have come back from a copy.
@@ -40,6 +40,11 @@
     return now - m_rowChangedAt >= timeout;
 }
 
+auto LeaderLease::isContinuable(TimePoint at) const -> bool
+{
+    return m_continuation && at < m_continuation->until;
+}
+
 auto LeaderLease::handleEra(StoreEra era, TimePoint now) -> void
 {
     if (m_isEraKnown && era <= m_era)
@@ -47,7 +52,7 @@
     m_isEraKnown = true;
     m_era = era;
     if (isHeld(now))
-        m_continuableUntil = *m_renewedAt + m_timing.holdTimeout;
+        m_continuation = {tenure(), *m_renewedAt + m_timing.holdTimeout};
     forgetProof();
     m_row = {{}, {era, 0}, era};
     m_rowIsKnown = false;
@@ -84,9 +89,13 @@
     // A row that goes back within one era belongs to a store that lost it without saying so.
     if (row.holder != m_holder || row.version < m_row.version)
         forgetProof();
+    // Its writer has waited until a lease of the earlier era had ended.
+    const bool isOfAnother = row.version.number > 0 && row.holder != m_holder;
+    if (isOfAnother && row.writtenIn == m_era)
+        m_continuation.reset();
     m_row = row;
     m_rowIsKnown = true;
-    if (now < m_continuableUntil)
+    if (isContinuable(now))
         m_nextStepAt = now;
     m_mayHaveBeenHeld = m_mayHaveBeenHeld || row.version.number > 0;
 }
@@ -123,9 +132,9 @@
     m_mayHaveBeenHeld = true;
     m_rowChangedAt = sentAt;
     m_renewedAt = sentAt;
-    m_continuableUntil = {};
     if (!m_tenure)
-        m_tenure = version;
+        m_tenure = isContinuable(sentAt) ? m_continuation->tenure : version;
+    m_continuation.reset();
 }
 
 auto LeaderLease::handleFailure() -> void
--- a/src/libs/membership/leaderlease.h
+++ b/src/libs/membership/leaderlease.h
@@ -44,7 +44,8 @@
 ///
 /// A store may come back from a copy that lacks the last renewals, or the whole row. Each process
 /// that learns of a new era waits as long as for a takeover, except for the one whose lease was
-/// valid then: all others wait longer than that lease lasts, so it writes its row again at once.
+/// valid then: all others wait longer than that lease lasts, so it writes its row again at once and
+/// keeps its tenure.
 class LeaderLease
 {
 public:
@@ -73,12 +74,21 @@
     auto isHeld(Utils::TimePoint now) const -> bool;
     /// Version of the row; changes with each renewal.
     auto version() const -> Utils::StoreVersion;
-    /// Version of the row when this process became its holder. Later holders have newer ones.
+    /// Version of the row when this process became its holder; the same as long as no other process
+    /// can have held the lease. Later holders have newer ones.
     auto tenure() const -> Utils::StoreVersion;
 
 private:
+    /// A lease that was valid when a new era was learned.
+    struct Continuation
+    {
+        Utils::StoreVersion tenure;
+        Utils::TimePoint until; ///< End of the lease.
+    };
+
     auto learnEra(Utils::StoreEra era, Utils::TimePoint now) -> void;
     auto mayWrite(Utils::TimePoint now) const -> bool;
+    auto isContinuable(Utils::TimePoint at) const -> bool;
     auto isOutdated(const LeaseRow &row) const -> bool;
     auto forgetProof() -> void;
     auto applyRow(const LeaseRow &row, Utils::TimePoint now) -> void;
@@ -95,8 +105,7 @@
     Utils::TimePoint m_nextStepAt;
     std::optional<Utils::TimePoint> m_renewedAt;
     std::optional<Utils::StoreVersion> m_tenure;
-    /// End of a lease that was valid when a new era was learned.
-    Utils::TimePoint m_continuableUntil;
+    std::optional<Continuation> m_continuation; ///< Until its row is written in the new era.
 };
 
 } // namespace Membership
--- a/tests/auto/platform/tst_storecopyholders.cpp
+++ b/tests/auto/platform/tst_storecopyholders.cpp
@@ -142,7 +142,8 @@
 }
 
 // Guards against a lower fencing token (issue 32, ONE): the duty was taken at a high version, and
-// the copy is from before it.
+// the copy is from before it. The holder goes on with its token (issue 35, ONE: it used to change
+// while orders were under way); that of the next holder is higher.
 TEST_F(StoreBackFromACopy, FencingTokenRisesAlthoughVersionsFall)
 {
     watchOrders(addEngine("i-1", "lm", {"m1"}));
@@ -157,5 +158,10 @@
     store->rewriteLost();
     wait(1s);
     requestModel("m1/a2");
+    EXPECT_EQ(orders.back().fence, first);
+    members.clear();
+    startMember("other");
+    requestModel("m1/a3");
+    EXPECT_EQ(lastHolder(), "other");
     EXPECT_GT(orders.back().fence, first);
 }
