Orders to engines end with the lease, and nothing of them arrives later

What callers saw: an order could reach an engine after its holder's lease had ended, beside the orders of the next holder.

Cause: the lease was checked when the bytes of an order were written. What carried them outlived the check: an order was given up after 0.8 s, whatever had become of the lease, and its connection was closed, upon which the kernel goes on sending what it holds. The same after the process had stopped or was killed, and for 2 s while it was suspended.

Change: an order has a connection of its own. From its start a close of it is a reset, whoever closes it (SO_LINGER with 0), so that the kernel discards what was not acknowledged. The order is given up when its authority ends (lease lost or not renewed, another token), when the timeout of calls has passed, or with the controller. When it is written, the kernel is told to transmit it no longer than the lease lasts at that moment (TCP_USER_TIMEOUT). order-answered tells in `ending` whether it was answered or why it was given up.

Why this works: with the last renewal sent at R, no byte is transmitted after R + 1.2 s, and the next holder writes its row at R + 1.2 + 3 + 0.5 s at the earliest, so an order may spend 0.5 s in the network. Before, it was R + 2.0 s at a running process, and R + 3.2 s at a suspended one (calculated from the code).

Ruled out: keeping the connection for requests after a whole answer (safe, but one more rule to keep); a longer margin (costs each change of holder).

Evidence: on the code before, four of the five new tests of tst_enginedesk fail: OrderUnderWayEndsWithItsLease, OrderThatWasGivenUpDoesNotArriveLater, OrderOfAnEndedControllerDoesNotArriveLater (orders() is 1, not 0) and ConnectionOfAnOrderCarriesNothingElse. OrderUnderWayGoesOnWhileTheLeaseIsRenewed passes before and now. The tests of tst_connections use functions that are new; with SO_LINGER left off, NothingIsSentAfterAClosingReset, NothingIsSentAfterTheProcessWasKilled and three of tst_enginedesk fail. With the check of the authority left out, OrderUnderWayEndsWithItsLease fails. Now tst_enginedesk (13), tst_connections (19) and tst_gateway (49) pass. No test covers that an order's TCP_USER_TIMEOUT is the rest of its lease: on loopback the kernel of the engine acknowledges everything.

StandInWire drops what it holds back of a connection that is reset meanwhile: the sender of a real path transmits it no more. Fixtures' authority now says how long it lasts.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -24,6 +24,8 @@
     bool isRefused = false; ///< The server has answered that it has not run the request.
     Utils::Duration idleTimeout = Constants::RepeatableMaxIdle;
     Net::Reactor::TimerId connectTimer = 0;
+    /// Set if the connection carries this request only.
+    std::function<std::chrono::milliseconds()> deliveryTimeout;
     bool ended = false;
 
     auto handleHead(const Http1::ResponseHead &head, Http1::Framing framing) -> bool
@@ -89,7 +91,7 @@
         context->reactor.cancel(connectTimer);
         if (isRefused)
             connection.refusedAttempts.push_back(attemptId);
-        if (connection.http && outcome == AttemptEnd::Complete)
+        if (connection.http && outcome == AttemptEnd::Complete && !deliveryTimeout)
             context->pool.release(backendId, std::move(connection), idleTimeout);
         else
             context->pool.discard(std::move(connection));
@@ -98,6 +100,54 @@
         onEnd(outcome);
     }
 
+    static auto create(GatewayContext &sharedContext, const BackendServer &server,
+                       const std::string &id, Events callbacks) -> std::shared_ptr<Private>
+    {
+        auto data = std::make_shared<Private>();
+        data->context = &sharedContext;
+        data->backendId = server.id;
+        data->startedAtMs = server.startedAtMs;
+        data->attemptId = id;
+        data->events = std::move(callbacks);
+        return data;
+    }
+
+    auto send(Utils::Result<BackendConnection, std::string> opened, const std::string &request)
+        -> void
+    {
+        if (!opened)
+            return failLater();
+        connection = std::move(*opened);
+        if (connection.http->isConnected()) {
+            sentAt = context->reactor.now();
+        } else {
+            connectTimer =
+                context->reactor.callAfter(Constants::ConnectTimeout, [weak = weak_from_this()] {
+                    const auto self = weak.lock();
+                    if (self && self->connection.http && !self->connection.http->isConnected())
+                        self->end(AttemptEnd::NotSent);
+                });
+        }
+        Http1::ClientConnection::CallEvents callEvents;
+        callEvents.onHead = [this](const Http1::ResponseHead &head, Http1::Framing framing) {
+            return handleHead(head, framing);
+        };
+        callEvents.onBody = [this](std::string_view chunk) {
+            if (!ended)
+                events.onBody(chunk);
+        };
+        callEvents.onEnd = [this](Http1::CallEnd outcome) { end(translate(outcome)); };
+        callEvents.maySend = [this] {
+            if (events.maySend && !events.maySend())
+                return false;
+            if (deliveryTimeout)
+                connection.http->setAcknowledgementTimeout(deliveryTimeout());
+            sentAt = context->reactor.now();
+            return true;
+        };
+        connection.http->call(request, std::move(callEvents));
+    }
+
     static auto translate(Http1::CallEnd outcome) -> AttemptEnd
     {
         switch (outcome) {
@@ -134,47 +184,24 @@
                            Utils::Duration maxIdle, Events events)
     -> std::unique_ptr<BackendAttempt>
 {
-    auto data = std::make_shared<Private>();
-    data->context = &context;
-    data->backendId = server.id;
-    data->startedAtMs = server.startedAtMs;
-    data->attemptId = attemptId;
-    data->events = std::move(events);
+    auto data = Private::create(context, server, attemptId, std::move(events));
     std::unique_ptr<BackendAttempt> attempt(new BackendAttempt(data));
-    auto connection = context.pool.acquire(server.id, server.address, maxIdle, attemptId);
-    if (!connection) {
-        data->failLater();
-        return attempt;
-    }
-    data->connection = std::move(*connection);
-    if (data->connection.http->isConnected()) {
-        data->sentAt = context.reactor.now();
-    } else {
-        data->connectTimer = context.reactor.callAfter(
-            Constants::ConnectTimeout, [weak = std::weak_ptr<Private>(data)] {
-                const auto self = weak.lock();
-                if (self && self->connection.http && !self->connection.http->isConnected())
-                    self->end(AttemptEnd::NotSent);
-            });
-    }
-    Http1::ClientConnection::CallEvents callEvents;
-    callEvents.onHead = [d = data.get()](const Http1::ResponseHead &head, Http1::Framing framing) {
-        return d->handleHead(head, framing);
-    };
-    callEvents.onBody = [d = data.get()](std::string_view chunk) {
-        if (!d->ended)
-            d->events.onBody(chunk);
-    };
-    callEvents.onEnd = [d = data.get()](Http1::CallEnd outcome) {
-        d->end(Private::translate(outcome));
-    };
-    callEvents.maySend = [d = data.get()] {
-        if (d->events.maySend && !d->events.maySend())
-            return false;
-        d->sentAt = d->context->reactor.now();
-        return true;
-    };
-    data->connection.http->call(request, std::move(callEvents));
+    data->send(context.pool.acquire(server.id, server.address, maxIdle, attemptId), request);
+    return attempt;
+}
+
+auto BackendAttempt::startExclusive(GatewayContext &context, const BackendServer &server,
+                                    const std::string &request,
+                                    std::function<std::chrono::milliseconds()> deliveryTimeout,
+                                    Events events) -> std::unique_ptr<BackendAttempt>
+{
+    auto data = Private::create(context, server, {}, std::move(events));
+    data->deliveryTimeout = std::move(deliveryTimeout);
+    std::unique_ptr<BackendAttempt> attempt(new BackendAttempt(data));
+    auto connection = context.pool.open(server.address);
+    if (connection)
+        connection->http->setResetsOnClose();
+    data->send(std::move(connection), request);
     return attempt;
 }
 
--- a/src/libs/gateway/backendattempt.h
+++ b/src/libs/gateway/backendattempt.h
@@ -5,6 +5,7 @@
 
 #include <utils/timepoint.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +43,14 @@
                       Utils::Duration maxIdle, Events events) -> std::unique_ptr<BackendAttempt>;
     ~BackendAttempt();
 
+    /// Sends the request over a connection of its own, which is reset when the attempt ends or this
+    /// process is killed: nothing that has not arrived by then arrives later. `deliveryTimeout` is
+    /// called right before the request is written; the kernel stops sending it after that time,
+    /// also if this process is suspended.
+    static auto startExclusive(GatewayContext &context, const BackendServer &server,
+                               const std::string &request,
+                               std::function<std::chrono::milliseconds()> deliveryTimeout,
+                               Events events) -> std::unique_ptr<BackendAttempt>;
     /// Closes the connection, so that the server stops processing the request.
     auto abandon() -> void;
     /// True once any byte of the request may have reached the server.
--- a/src/libs/gateway/connectionpool.cpp
+++ b/src/libs/gateway/connectionpool.cpp
@@ -39,6 +39,12 @@
         idle.erase(it);
         return connection;
     }
+    return open(address);
+}
+
+auto ConnectionPool::open(const Http1::SocketAddress &address)
+    -> Utils::Result<BackendConnection, std::string>
+{
     auto http = Http1::ClientConnection::connect(m_reactor, address);
     if (!http)
         return tl::unexpected(http.error());
--- a/src/libs/gateway/connectionpool.h
+++ b/src/libs/gateway/connectionpool.h
@@ -29,6 +29,8 @@
     auto acquire(const std::string &backendId, const Http1::SocketAddress &address,
                  Utils::Duration maxIdle, const std::string &attemptId)
         -> Utils::Result<BackendConnection, std::string>;
+    /// Opens a new connection.
+    auto open(const Http1::SocketAddress &address) -> Utils::Result<BackendConnection, std::string>;
     /// Keeps the connection for `idleTimeout` if it is reusable.
     auto release(const std::string &backendId, BackendConnection connection,
                  Utils::Duration idleTimeout) -> void;
--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -52,6 +52,8 @@
 {
     m_context.reactor.cancel(m_callTimer);
     m_context.reactor.cancel(m_wakeTimer);
+    if (m_orderUnderWay)
+        logOrderEnd(m_orderUnderWay->order, 0, "abandoned");
 }
 
 auto EngineController::isBusy() const -> bool
@@ -147,39 +149,85 @@
     order.fence = authority->fence;
     order.expectedOrders = m_state.ordersAccepted;
     m_callStatus = 0;
-    const auto finish = [this, order, done = std::move(done)](bool answered) {
-        const int status = m_callStatus;
-        releaseAttempt(std::move(m_call));
-        const OrderResult result =
-            answered ? m_context.wire.parseOrderAnswer(status) : OrderResult::Unknown;
-        Utils::logEvent(Utils::Event::OrderAnswered,
-                        {{"server", m_id},
-                         {"order", order.kind == EngineOrder::Kind::Load ? "load" : "unload"},
-                         {"model", order.model},
-                         {"adapter", order.adapter},
-                         {"status", status},
-                         {"expected", *order.expectedOrders},
-                         {"holder", order.holder},
-                         {"fence", order.fence}});
-        if (result != OrderResult::Unknown)
-            m_events.onOrderAnswered(order);
-        handleOrderResult(order, result);
-        done(result);
-    };
+    m_orderUnderWay = {order, *authority, m_context.reactor.now() + CallTimeout, std::move(done)};
     BackendAttempt::Events events;
     events.onHead = [this](const BackendAnswer &answer) { m_callStatus = answer.status; };
     events.onBody = [](std::string_view) {};
-    events.onEnd = [finish](AttemptEnd outcome) { finish(outcome == AttemptEnd::Complete); };
+    events.onEnd = [this](AttemptEnd outcome) {
+        const bool isAnswered = outcome == AttemptEnd::Complete;
+        endOrder(isAnswered, isAnswered ? "answered" : "connection-ended");
+    };
     // While the connection was established, the lease may have been lost, or acquired again under a
     // newer token.
-    events.maySend = [this, authority] { return m_events.authority() == authority; };
-    m_callTimer = m_context.reactor.callAfter(CallTimeout, [finish] { finish(false); });
+    events.maySend = [this] { return hasAuthority(); };
+    watchOrder(authority->validFor);
     m_events.onOrderSent(order);
-    m_call = BackendAttempt::start(m_context, *server, m_context.wire.formatOrder(m_id, order), {},
-                                   std::chrono::milliseconds(0), std::move(events));
+    m_call = BackendAttempt::startExclusive(
+        m_context, *server, m_context.wire.formatOrder(m_id, order),
+        [this] {
+            const auto current = m_events.authority();
+            return std::min(CallTimeout, current ? current->validFor : CallTimeout.zero());
+        },
+        std::move(events));
     return true;
 }
 
+auto EngineController::hasAuthority() const -> bool
+{
+    const auto current = m_events.authority();
+    return current && m_orderUnderWay && current->isSameTenure(m_orderUnderWay->authority);
+}
+
+/// The lease is renewed while the order is under way, so its end has to be looked up again.
+auto EngineController::watchOrder(std::chrono::milliseconds validFor) -> void
+{
+    const auto left = m_orderUnderWay->until - m_context.reactor.now();
+    m_context.reactor.cancel(m_callTimer);
+    m_callTimer = m_context.reactor.callAfter(std::min<Utils::Duration>(validFor, left),
+                                              [this] { checkOrderUnderWay(); });
+}
+
+auto EngineController::checkOrderUnderWay() -> void
+{
+    if (!m_orderUnderWay)
+        return;
+    if (!hasAuthority())
+        return endOrder(false, "authority-ended");
+    if (m_context.reactor.now() >= m_orderUnderWay->until)
+        return endOrder(false, "timed-out");
+    watchOrder(m_events.authority()->validFor);
+}
+
+auto EngineController::endOrder(bool isAnswered, const std::string &ending) -> void
+{
+    const OrderUnderWay ended = std::move(*m_orderUnderWay);
+    m_orderUnderWay.reset();
+    const int status = m_callStatus;
+    releaseAttempt(std::move(m_call));
+    const OrderResult result =
+        isAnswered ? m_context.wire.parseOrderAnswer(status) : OrderResult::Unknown;
+    logOrderEnd(ended.order, status, ending);
+    if (result != OrderResult::Unknown)
+        m_events.onOrderAnswered(ended.order);
+    handleOrderResult(ended.order, result);
+    ended.done(result);
+}
+
+auto EngineController::logOrderEnd(const EngineOrder &order, int status,
+                                   const std::string &ending) const -> void
+{
+    Utils::logEvent(Utils::Event::OrderAnswered,
+                    {{"server", m_id},
+                     {"order", order.kind == EngineOrder::Kind::Load ? "load" : "unload"},
+                     {"model", order.model},
+                     {"adapter", order.adapter},
+                     {"status", status},
+                     {"ending", ending},
+                     {"expected", *order.expectedOrders},
+                     {"holder", order.holder},
+                     {"fence", order.fence}});
+}
+
 /// Updates the count of accepted orders, or marks the state as uncertain if the answer is missing.
 auto EngineController::handleOrderResult(const EngineOrder &order, OrderResult result) -> void
 {
--- a/src/libs/gateway/enginecontroller.h
+++ b/src/libs/gateway/enginecontroller.h
@@ -19,13 +19,18 @@
 class BackendAttempt;
 struct GatewayContext;
 
-/// The lease holder that sends an order, and its fencing token.
+/// The lease holder that sends an order, its fencing token, and how long the lease still lasts if
+/// it isn't renewed.
 struct OrderAuthority
 {
     std::string holder;
     std::uint64_t fence = 0;
+    std::chrono::milliseconds validFor{0};
 
-    auto operator==(const OrderAuthority &) const -> bool = default;
+    auto isSameTenure(const OrderAuthority &other) const -> bool
+    {
+        return holder == other.holder && fence == other.fence;
+    }
 };
 
 /// Tracks the state of one engine for the placement lease's holder and sends it orders, one at a
@@ -43,7 +48,8 @@
         std::function<void(const EngineOrder &)> onOrderSent;
         /// The engine has accepted or refused the order.
         std::function<void(const EngineOrder &)> onOrderAnswered;
-        /// Called right before an order is sent; an unset result forbids it.
+        /// Called right before an order is sent and while it is under way. An unset result forbids
+        /// it.
         std::function<std::optional<OrderAuthority>()> authority;
     };
 
@@ -53,6 +59,8 @@
     /// Requests the engine's report if that is due, otherwise processes the adapter queue.
     auto tick(Utils::TimePoint now) -> void;
     auto isKnown() const -> bool { return m_isKnown; }
+    /// Gives up an order that is under way unless it still has its authority.
+    auto checkOrderUnderWay() -> void;
     /// True if no order can be sent now.
     auto isBusy() const -> bool;
     auto toPlannedEngine(const BackendServer &server,
@@ -93,6 +101,15 @@
         Utils::TimePoint startedAt;
     };
 
+    /// An order that was sent and has not been answered.
+    struct OrderUnderWay
+    {
+        EngineOrder order;
+        OrderAuthority authority;
+        Utils::TimePoint until; ///< When it is given up.
+        std::function<void(OrderResult)> done;
+    };
+
     struct QueuedAdapter
     {
         std::string model;
@@ -100,8 +117,16 @@
         Utils::TimePoint since;
     };
 
+    /// Ends the order under way; `ending` is for the log. An order that is not answered is reset.
+    auto endOrder(bool isAnswered, const std::string &ending) -> void;
     /// Returns false, with no effect, if the order must not be sent or the engine is gone.
     auto sendOrder(EngineOrder order, std::function<void(OrderResult)> done) -> bool;
+    /// How an order ended, as the log names it.
+    auto logOrderEnd(const EngineOrder &order, int status, const std::string &ending) const -> void;
+    /// True if the order under way may still arrive.
+    auto hasAuthority() const -> bool;
+    /// Schedules the next check of the order under way.
+    auto watchOrder(std::chrono::milliseconds validFor) -> void;
     auto handleOrderResult(const EngineOrder &order, OrderResult result) -> void;
     auto requestReport() -> void;
     auto handleReport(const std::string &body) -> void;
@@ -128,6 +153,7 @@
     std::string m_loadingAdapter; ///< As "model/adapter", while its order is unanswered.
     int m_adapterSlots = 0;
     std::unique_ptr<BackendAttempt> m_call;
+    std::optional<OrderUnderWay> m_orderUnderWay; ///< Carried by `m_call`.
     int m_callStatus = 0;
     std::string m_callBody;
     long m_callTimer = 0;
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -55,6 +55,12 @@
     }
 }
 
+auto EnginePlacement::checkOrdersUnderWay() -> void
+{
+    for (auto &[key, controller] : m_controllers)
+        controller->checkOrderUnderWay();
+}
+
 auto EnginePlacement::visit(
     const std::function<void(const std::string &, const EngineReport &)> &visitor) const -> void
 {
--- a/src/libs/gateway/engineplacement.h
+++ b/src/libs/gateway/engineplacement.h
@@ -36,6 +36,8 @@
 
     /// Updates the state of all engines and sends the orders that the demand requires.
     auto run(const std::map<ModelKey, TotalDemand> &demand) -> void;
+    /// Gives up the orders under way that have lost their authority.
+    auto checkOrdersUnderWay() -> void;
     /// Calls `visitor` for each engine with a known state.
     auto visit(const std::function<void(const std::string &id, const EngineReport &state)> &visitor)
         const -> void;
--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -314,6 +314,8 @@
                          {"fence", lease->fence()},
                          {"era", lease->version().era},
                          {"rowVersion", lease->version().number}});
+        if (placement)
+            placement->checkOrdersUnderWay();
         // Keep the record of orders until another gateway acquires the lease.
         if (!held)
             return;
@@ -334,9 +336,10 @@
 
     auto authority() const -> std::optional<OrderAuthority>
     {
-        if (!lease->isHeld())
+        const auto validFor = lease->validFor();
+        if (validFor <= milliseconds(0))
             return {};
-        return OrderAuthority{own.name, lease->fence()};
+        return OrderAuthority{own.name, lease->fence(), validFor};
     }
 
     /// Plans now, or as soon as the limit on processor time allows it.
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -124,6 +124,14 @@
     return !m_isStopped && m_lease.isHeld(Utils::bootTime());
 }
 
+auto PlacementLease::validFor() const -> std::chrono::milliseconds
+{
+    if (m_isStopped)
+        return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_lease.validFor(Utils::bootTime()));
+}
+
 auto PlacementLease::version() const -> Utils::StoreVersion
 {
     return m_lease.version();
--- a/src/libs/gateway/placementlease.h
+++ b/src/libs/gateway/placementlease.h
@@ -6,6 +6,7 @@
 #include <membership/leaderlease.h>
 #include <utils/timepoint.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,6 +47,8 @@
     auto stop() -> void;
 
     auto isHeld() const -> bool;
+    /// How long the lease lasts from now on if it isn't renewed; 0 if it is not held.
+    auto validFor() const -> std::chrono::milliseconds;
     auto version() const -> Utils::StoreVersion;
     /// Fencing token of orders: the same in one tenure, and higher in each later one.
     auto fence() const -> std::uint64_t;
--- a/src/libs/http1/clientconnection.cpp
+++ b/src/libs/http1/clientconnection.cpp
@@ -161,6 +161,18 @@
         d->stream->closeNow();
 }
 
+auto ClientConnection::setResetsOnClose() -> void
+{
+    if (d->stream)
+        d->stream->setResetsOnClose();
+}
+
+auto ClientConnection::setAcknowledgementTimeout(std::chrono::milliseconds timeout) -> void
+{
+    if (d->stream)
+        d->stream->setAcknowledgementTimeout(timeout);
+}
+
 auto ClientConnection::isReusable() const -> bool
 {
     return d->reusable && !d->inCall && d->stream;
--- a/src/libs/http1/clientconnection.h
+++ b/src/libs/http1/clientconnection.h
@@ -4,6 +4,7 @@
 #include "socketaddress.h"
 #include "tcpstream.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,6 +49,12 @@
     auto abandon() -> void;
     /// Closes the connection immediately, so that the peer stops working on the call.
     auto closeNow() -> void;
+    /// From now on each end of this connection discards data that the peer has not acknowledged,
+    /// also if the process is killed.
+    auto setResetsOnClose() -> void;
+    /// The connection ends if the peer doesn't acknowledge sent data for this time, also while this
+    /// process is suspended.
+    auto setAcknowledgementTimeout(std::chrono::milliseconds timeout) -> void;
     /// True if another call may be made on this connection.
     auto isReusable() const -> bool;
     auto isConnected() const -> bool;
--- a/src/libs/http1/tcpstream.cpp
+++ b/src/libs/http1/tcpstream.cpp
@@ -4,6 +4,7 @@
 
 #include <net/reactor.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -243,11 +244,25 @@
 }
 
 auto TcpStream::reset() -> void
+{
+    setResetsOnClose();
+    closeNow();
+}
+
+auto TcpStream::setResetsOnClose() -> void
 {
     const linger resetOnClose = {1, 0};
     if (d->fd >= 0)
         setsockopt(d->fd, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
-    closeNow();
+}
+
+auto TcpStream::setAcknowledgementTimeout(std::chrono::milliseconds timeout) -> void
+{
+    // The kernel takes 0 for its own, much longer default.
+    constexpr std::chrono::milliseconds shortest(1);
+    if (d->fd >= 0)
+        setOption(d->fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                  static_cast<int>(std::max(timeout, shortest).count()));
 }
 
 auto TcpStream::peerHasClosed() const -> bool
--- a/src/libs/http1/tcpstream.h
+++ b/src/libs/http1/tcpstream.h
@@ -2,6 +2,7 @@
 
 #include "socketaddress.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -51,6 +52,12 @@
     auto closeNow() -> void;
     /// Closes immediately with a reset, so that the peer can't take partial data for complete.
     auto reset() -> void;
+    /// From now on each end of this socket discards data that has not been acknowledged, also if
+    /// the process is killed.
+    auto setResetsOnClose() -> void;
+    /// The kernel ends the connection if sent data stays unacknowledged for this time, also while
+    /// this process is suspended.
+    auto setAcknowledgementTimeout(std::chrono::milliseconds timeout) -> void;
 
     /// Checks for an end or reset by the peer without consuming any data.
     auto peerHasClosed() const -> bool;
--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -1,5 +1,7 @@
 #include "leaderlease.h"
 
+#include <algorithm>
+
 namespace Membership {
 
 using Utils::StoreEra;
@@ -145,7 +147,14 @@
 
 auto LeaderLease::isHeld(TimePoint now) const -> bool
 {
-    return m_renewedAt && now - *m_renewedAt < m_timing.holdTimeout;
+    return validFor(now) > Utils::Duration::zero();
+}
+
+auto LeaderLease::validFor(TimePoint now) const -> Utils::Duration
+{
+    if (!m_renewedAt)
+        return Utils::Duration::zero();
+    return std::max(*m_renewedAt + m_timing.holdTimeout - now, Utils::Duration::zero());
 }
 
 auto LeaderLease::version() const -> StoreVersion
--- a/src/libs/membership/leaderlease.h
+++ b/src/libs/membership/leaderlease.h
@@ -72,6 +72,8 @@
     auto holder() const -> const std::string & { return m_row.holder; }
     /// True while this process holds the lease.
     auto isHeld(Utils::TimePoint now) const -> bool;
+    /// How long this process still holds the lease if it isn't renewed; 0 if it is not held.
+    auto validFor(Utils::TimePoint now) const -> Utils::Duration;
     /// Version of the row; changes with each renewal.
     auto version() const -> Utils::StoreVersion;
     /// Version of the row when this process became its holder; the same as long as no other process
--- a/src/libs/standins/standinwire.cpp
+++ b/src/libs/standins/standinwire.cpp
@@ -24,6 +24,7 @@
 {
     std::deque<std::pair<TimePoint, std::string>> pending; ///< Each with its earliest sending time.
     bool isEndOfStream = false; ///< The sender has closed.
+    bool isReset = false; ///< The sender has reset the connection.
 };
 
 /// A forwarded connection.
@@ -138,6 +139,8 @@
             || (connection->toClient.isEndOfStream && connection->toClient.pending.empty());
         if (isOpen && !isFinished)
             update(connection);
+        else if (connection->toTarget.isReset || connection->toClient.isReset)
+            reset(*connection);
         else
             close(*connection);
     }
@@ -147,6 +150,15 @@
     {
         if (destination.isEndOfStream)
             return true;
+        // The socket would still hand over the bytes that a network path would have lost.
+        int error = 0;
+        int length = sizeof error;
+        from.get_option(SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0) {
+            destination.isEndOfStream = true;
+            destination.isReset = true;
+            return true;
+        }
         std::array<char, 65536> block;
         const ssize_t count = from.recv(block.data(), block.size());
         if (count < 0)
--- a/src/libs/standins/standinwire.h
+++ b/src/libs/standins/standinwire.h
@@ -34,7 +34,8 @@
     /// state; new connections work.
     auto freeze() -> void;
     auto frozenCount() const -> int;
-    /// Holds back bytes until the silence ends, on new connections as well.
+    /// Holds back bytes until the silence ends, on new connections as well. A connection that is
+    /// reset meanwhile loses them, as the sender doesn't transmit them any more.
     auto setSilence(Silence silence) -> void;
     /// Delays bytes in both directions.
     auto setDelay(Utils::Duration delay) -> void;
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -165,7 +165,7 @@
         {Event::PermitChanged, "permit-changed",
          "The planner decided which backend servers may hold a model."},
         {Event::OrderAnswered, "order-answered",
-         "An engine answered an order, or did not in time."},
+         "An engine answered an order, or the order was given up; `ending` tells which and why."},
         {Event::LinkSilent, "link-silent",
          "A connection missed its heartbeat; a second connection is opened."},
         {Event::LinkRejected, "link-rejected",
--- a/tests/auto/http1/tst_connections.cpp
+++ b/tests/auto/http1/tst_connections.cpp
@@ -8,6 +8,14 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
+#include <arpa/inet.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 using namespace Http1;
 using namespace std::chrono_literals;
 
@@ -353,3 +361,133 @@
     servers[1]->closeAfterAnswer();
     EXPECT_TRUE(runUntil([this] { return closedCount == 2; }));
 }
+
+namespace {
+
+/// A peer that reads only when asked to, so that what is sent to it stays in the sender's kernel.
+class UnreadingPeer
+{
+public:
+    UnreadingPeer()
+    {
+        constexpr int smallest = 4096;
+        setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &smallest, sizeof smallest);
+        sockaddr_in address = {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+        EXPECT_EQ(listen(m_listener, 1), 0);
+    }
+
+    ~UnreadingPeer()
+    {
+        ::close(m_listener);
+        ::close(m_connection);
+    }
+
+    auto address() const -> SocketAddress
+    {
+        sockaddr_in own = {};
+        socklen_t length = sizeof own;
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&own), &length);
+        return *SocketAddress::parse("127.0.0.1:" + std::to_string(ntohs(own.sin_port)));
+    }
+
+    auto accept() -> void { m_connection = ::accept(m_listener, nullptr, nullptr); }
+
+    /// Number of bytes that have arrived and were not read.
+    auto arrivedBytes() const -> size_t
+    {
+        int count = 0;
+        ioctl(m_connection, FIONREAD, &count);
+        return static_cast<size_t>(count);
+    }
+
+    /// Reads until the connection ends and returns the number of bytes.
+    auto readAll() -> size_t
+    {
+        size_t total = 0;
+        std::array<char, 65536> block;
+        ssize_t count = 0;
+        while ((count = recv(m_connection, block.data(), block.size(), 0)) > 0)
+            total += static_cast<size_t>(count);
+        isReset = count < 0 && errno == ECONNRESET;
+        return total;
+    }
+
+    bool isReset = false;
+
+private:
+    int m_listener = socket(AF_INET, SOCK_STREAM, 0);
+    int m_connection = -1;
+};
+
+/// A request that doesn't fit into the peer's buffer.
+const std::string LargeRequest(1 << 20, 'x');
+
+auto sendLargeRequest(ClientConnection &connection) -> void
+{
+    connection.call(LargeRequest,
+                    {[](const ResponseHead &, Framing) { return true; }, [](std::string_view) {},
+                     [](CallEnd) {}});
+}
+
+} // namespace
+
+// Guards against an order that arrives after it was given up (issue 35, ONE): the kernel goes on
+// sending what a closed connection still holds.
+TEST_F(Connections, NothingIsSentAfterAClosingReset)
+{
+    UnreadingPeer peer;
+    auto connection = std::move(*ClientConnection::connect(*loop, peer.address()));
+    connection->setResetsOnClose();
+    sendLargeRequest(*connection);
+    loop->callAfter(100ms, [this] { loop->stop(); });
+    loop->run();
+    peer.accept();
+    const auto arrived = peer.arrivedBytes();
+    ASSERT_GT(arrived, 0U);
+    connection.reset();
+    EXPECT_LE(peer.readAll(), arrived);
+    EXPECT_TRUE(peer.isReset);
+}
+
+// The same if the process is killed.
+TEST_F(Connections, NothingIsSentAfterTheProcessWasKilled)
+{
+    UnreadingPeer peer;
+    const auto child = fork();
+    ASSERT_GE(child, 0);
+    if (child == 0) {
+        const auto own = std::move(*Net::Reactor::create());
+        const auto connection = std::move(*ClientConnection::connect(*own, peer.address()));
+        connection->setResetsOnClose();
+        sendLargeRequest(*connection);
+        own->run();
+        _exit(0);
+    }
+    peer.accept();
+    std::this_thread::sleep_for(200ms);
+    const auto arrived = peer.arrivedBytes();
+    ASSERT_GT(arrived, 0U);
+    kill(child, SIGKILL);
+    waitpid(child, nullptr, 0);
+    EXPECT_LE(peer.readAll(), arrived);
+    EXPECT_TRUE(peer.isReset);
+}
+
+// The same if the process is suspended: it reads nothing and gives nothing up.
+TEST_F(Connections, KernelStopsSendingAfterTheAcknowledgementTimeout)
+{
+    UnreadingPeer peer;
+    auto connection = std::move(*ClientConnection::connect(*loop, peer.address()));
+    connection->setAcknowledgementTimeout(300ms);
+    sendLargeRequest(*connection);
+    loop->callAfter(100ms, [this] { loop->stop(); });
+    loop->run();
+    peer.accept();
+    const auto arrived = peer.arrivedBytes();
+    ASSERT_GT(arrived, 0U);
+    std::this_thread::sleep_for(1s);
+    EXPECT_LE(peer.readAll(), arrived);
+}
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -106,7 +106,8 @@
         settings.failureDomain = "a";
         settings.callerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.readinessAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
-        settings.peerAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
+        settings.peerAddress =
+            peerAddress.value_or(*Http1::SocketAddress::parse("127.0.0.1:" + freePort()));
         settings.metricsAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.storeAddress = storeLink.value_or(store->address());
         settings.isFirstStart = isFirstStart;
@@ -214,6 +215,7 @@
     Platform::PlatformWireFormat wire;
     std::unique_ptr<Platform::RowStoreClient> rows;
     std::unique_ptr<Gateway::GatewayServer> gateway;
+    std::optional<Http1::SocketAddress> peerAddress; ///< Of the next gateway; a free one if unset.
     std::optional<Http1::SocketAddress> storeLink; ///< How the next gateway reaches the store.
     Http1::SocketAddress address;
     Http1::SocketAddress readiness;
--- a/tests/auto/platform/tst_enginedesk.cpp
+++ b/tests/auto/platform/tst_enginedesk.cpp
@@ -14,6 +14,7 @@
 #include <platform/emulator/emulatedengine.h>
 #include <platform/emulator/emulatedstore.h>
 #include <platform/platformwireformat.h>
+#include <standins/standinwire.h>
 
 #include <gtest/gtest.h>
 
@@ -43,7 +44,7 @@
         events.authority = [this]() -> std::optional<Gateway::OrderAuthority> {
             if (!mayOrder)
                 return {};
-            return Gateway::OrderAuthority{"g1", 7};
+            return Gateway::OrderAuthority{"g1", 7, leaseTime};
         };
         controller = std::make_unique<EngineController>(context, "i-1", std::move(events));
         runFor(50ms);
@@ -55,13 +56,25 @@
     {
         const auto end = loop->now() + time;
         while (loop->now() < end) {
-            controller->tick(loop->now());
+            if (controller)
+                controller->tick(loop->now());
             loop->callAfter(10ms, [this] { loop->stop(); });
             loop->run();
             loop->restart();
         }
     }
 
+    /// Puts a faulty path between the gateway and the engine.
+    auto insertPath() -> void
+    {
+        path = std::move(
+            *StandIns::StandInWire::create(*loop, "127.0.0.1:0", engine->address().toString()));
+        engine->advertisedAddress =
+            *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(path->port()));
+        engine->announce();
+        registry.update(*wire.parseBackend("i-1", store->value("servers", "i-1")), loop->now());
+    }
+
     auto requestAdapter(const std::string &adapter) -> void
     {
         controller->requestAdapter("m1", adapter, 2, loop->now());
@@ -83,7 +96,9 @@
     std::unique_ptr<EmulatedStore> store;
     std::unique_ptr<EmulatedEngine> engine;
     std::unique_ptr<EngineController> controller;
+    std::unique_ptr<StandIns::StandInWire> path;
     bool mayOrder = true;
+    std::chrono::milliseconds leaseTime = 1200ms;
     int sent = 0;
     int reportedStoreLoads = 0; ///< As reported when a load from the weight store ended.
 };
@@ -219,3 +234,80 @@
     runFor(600ms);
     EXPECT_EQ(reportedStoreLoads, 3);
 }
+
+// Guards against an order that arrives later than its lease lasts (issue 35, ONE): it was given up
+// only at the timeout of calls.
+TEST_F(EngineControllers, OrderUnderWayEndsWithItsLease)
+{
+    insertPath();
+    path->setSilence(StandIns::StandInWire::Silence::ToTarget);
+    leaseTime = 200ms;
+    requestAdapter("a1");
+    runFor(100ms);
+    ASSERT_EQ(sent, 1);
+    mayOrder = false;
+    runFor(250ms);
+    path->setSilence(StandIns::StandInWire::Silence::None);
+    runFor(400ms);
+    EXPECT_EQ(engine->orders(), 0);
+}
+
+TEST_F(EngineControllers, OrderUnderWayGoesOnWhileTheLeaseIsRenewed)
+{
+    insertPath();
+    path->setSilence(StandIns::StandInWire::Silence::ToTarget);
+    leaseTime = 100ms;
+    requestAdapter("a1");
+    runFor(350ms);
+    path->setSilence(StandIns::StandInWire::Silence::None);
+    runFor(300ms);
+    EXPECT_EQ(engine->orders(), 1);
+    EXPECT_EQ(sent, 1);
+}
+
+// Guards against an order that arrives after it was given up (issue 35, ONE): its connection was
+// closed, and the kernel went on sending it.
+TEST_F(EngineControllers, OrderThatWasGivenUpDoesNotArriveLater)
+{
+    insertPath();
+    path->setSilence(StandIns::StandInWire::Silence::ToTarget);
+    requestAdapter("a1");
+    runFor(1s);
+    ASSERT_EQ(sent, 1);
+    mayOrder = false;
+    path->setSilence(StandIns::StandInWire::Silence::None);
+    runFor(400ms);
+    EXPECT_EQ(engine->orders(), 0);
+}
+
+// The same when the gateway stops, or sees another holder.
+TEST_F(EngineControllers, OrderOfAnEndedControllerDoesNotArriveLater)
+{
+    insertPath();
+    path->setSilence(StandIns::StandInWire::Silence::ToTarget);
+    requestAdapter("a1");
+    runFor(100ms);
+    ASSERT_EQ(sent, 1);
+    controller.reset();
+    runFor(50ms);
+    path->setSilence(StandIns::StandInWire::Silence::None);
+    runFor(400ms);
+    EXPECT_EQ(engine->orders(), 0);
+}
+
+TEST_F(EngineControllers, ConnectionOfAnOrderCarriesNothingElse)
+{
+    requestAdapter("a1");
+    runFor(200ms);
+    ASSERT_EQ(engine->orders(), 1);
+    // The report before the order has left a connection in the pool.
+    pool.closeIdleConnections("i-1");
+    requestAdapter("a2");
+    loop->callAfter(60ms, [this] { loop->stop(); });
+    loop->run();
+    loop->restart();
+    ASSERT_EQ(engine->orders(), 2);
+    const auto next = pool.acquire("i-1", engine->address(), 10s, "r-1");
+    ASSERT_TRUE(next);
+    EXPECT_FALSE(next->http->isConnected());
+}
