A restarted holder goes on under its token; a machine that replaces it waits

What callers saw: after the holder was killed and started again, engines got orders under a higher token at once, and then one of the killed process under the lower token.

Cause: a process that found its own name in the row, written in the present era, wrote at once and took the version of that write as its token. The name alone also stood for another machine that had taken it over.

Change: the row names the tenure: era and number of its holder's first write (number 0: the row's own version, which the first write can't know). A process with the name and the address of the row, in the era in which it was written, goes on at once under that token. Another address, another era, a row of earlier software, or a tenure newer than its row: it waits the whole takeover time, and gets a new token. A report of another gateway no longer passes for an own row.

Why this works: the row is written under a condition, so nobody has held the lease since its last write; one machine gives all orders of the tenure, and one token names them. Orders of the killed process end with it (reset), and the engine's count of orders keeps what is in the network from taking effect after newer ones.

Changed test: NeverHeldByTwoRunningProcesses writes rows that name their tenure, as both users of LeaderLease do now. The agents' coordinator writes its tenure too; its rows name the incarnation, so that they are never another process's.

--- a/src/libs/agent/fleetcoordinator.cpp
+++ b/src/libs/agent/fleetcoordinator.cpp
@@ -235,14 +235,15 @@
     auto readRow() -> void
     {
         node.table().read(coordinatorRowKey, [this](const auto &row) {
-            if (row)
-                lease.handleRow(
-                    {row->value.is_object() ? Utils::fieldOr(row->value, "holder", "") : "",
-                     {{}, row->version},
-                     {}},
-                    node.reactor().now());
-            else
-                lease.handleFailure();
+            if (!row)
+                return lease.handleFailure();
+            const json value = row->value.is_object() ? row->value : json::object();
+            const auto tenure = Utils::fieldOr(value, "tenure", std::uint64_t(0));
+            lease.handleRow({Utils::fieldOr(value, "holder", ""),
+                             {{}, row->version},
+                             {},
+                             Utils::StoreVersion{{}, tenure > 0 ? tenure : row->version}},
+                            node.reactor().now());
         });
     }
 
@@ -253,7 +254,9 @@
         Storage::TableTransaction transaction;
         transaction.conditions.push_back({coordinatorRowKey, expected});
         transaction.writes.push_back(
-            {coordinatorRowKey, json{{"holder", node.settings().name + "/" + node.incarnation()}}});
+            {coordinatorRowKey,
+             json{{"holder", node.settings().name + "/" + node.incarnation()},
+                  {"tenure", lease.claimedTenure().value_or(Utils::StoreVersion()).number}}});
         node.table().commit(transaction, [this, expected, sentAt](const auto &result) {
             if (result)
                 lease.handleWritten({{}, expected + 1}, {}, sentAt, node.reactor().now());
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace Gateway {
 
 using nlohmann::json;
@@ -14,6 +16,30 @@
 /// An era adds more to a fencing token than the writes that a copy of the store may lack take away.
 constexpr int FenceEraShift = 32;
 
+/// Number in the row of a tenure that begins with that row, whose version its writer doesn't know.
+constexpr std::uint64_t OwnVersion = 0;
+
+auto tenureToJson(const std::optional<Utils::StoreVersion> &tenure) -> json
+{
+    const auto named = tenure.value_or(Utils::StoreVersion{{}, OwnVersion});
+    return {{"era", named.era}, {"number", named.number}};
+}
+
+/// Earlier software doesn't write the tenure. One that is newer than the row is an error.
+auto tenureFromJson(const json &value, const Utils::StoreVersion &rowVersion)
+    -> std::optional<Utils::StoreVersion>
+{
+    const auto found = value.is_object() ? value.find("tenure") : value.end();
+    if (found == value.end() || !found->is_object() || !found->contains("number"))
+        return {};
+    const Utils::StoreVersion tenure = {
+        Utils::StoreEra(Utils::fieldOr(*found, "era", std::uint64_t(0))),
+        Utils::fieldOr(*found, "number", std::numeric_limits<std::uint64_t>::max())};
+    if (tenure.number == OwnVersion)
+        return rowVersion;
+    return tenure <= rowVersion ? std::optional(tenure) : std::nullopt;
+}
+
 } // namespace
 
 PlacementLease::PlacementLease(RowStore &store, std::string table, std::string name,
@@ -59,7 +85,10 @@
 auto PlacementLease::write() -> void
 {
     const auto era = m_lease.era();
-    const json value = {{"holder", m_name}, {"address", m_address.toString()}, {"era", era}};
+    const json value = {{"holder", m_name},
+                        {"address", m_address.toString()},
+                        {"era", era},
+                        {"tenure", tenureToJson(m_lease.claimedTenure())}};
     const auto sentAt = Utils::bootTime();
     m_store.write(m_table, Key, m_lease.expectedVersion(), value.dump(),
                   [self = shared_from_this(), sentAt, era](const auto &answer) {
@@ -85,20 +114,23 @@
         Http1::SocketAddress::parse(Utils::fieldOr(value, "address", std::string()));
     const std::string name = Utils::fieldOr(value, "holder", std::string());
     const Utils::StoreEra writtenIn{Utils::fieldOr(value, "era", std::uint64_t(0))};
-    m_lease.handleRow({name, row.version, writtenIn}, Utils::bootTime());
+    // A machine that replaces another one under its name has another address.
+    const bool isOfThisMachine = m_address.isConnectable() && address == m_address;
+    const auto tenure = isOfThisMachine ? tenureFromJson(value, row.version) : std::nullopt;
+    m_lease.handleRow({name, row.version, writtenIn, tenure}, Utils::bootTime());
     if (address && address->isConnectable() && name != m_name)
         m_events.onOtherHolder(*address);
 }
 
 auto PlacementLease::handleMissingRow(Utils::StoreEra era) -> void
 {
-    m_lease.handleRow({{}, {era, 0}, era}, Utils::bootTime());
+    m_lease.handleRow({{}, {era, 0}, era, {}}, Utils::bootTime());
 }
 
 auto PlacementLease::handleHolderReport(const std::string &holder,
                                         const Utils::StoreVersion &version) -> void
 {
-    m_lease.handleReport({holder, version, version.era}, Utils::bootTime());
+    m_lease.handleReport({holder, version, version.era, {}}, Utils::bootTime());
 }
 
 auto PlacementLease::handleEra(Utils::StoreEra era) -> void
--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -26,17 +26,27 @@
         return LeaseStep::Nothing;
     m_isRequestPending = true;
     m_nextStepAt = now + m_timing.renewInterval;
-    return m_rowIsKnown && mayWrite(now) ? LeaseStep::Write : LeaseStep::Read;
+    if (!m_rowIsKnown || !mayWrite(now))
+        return LeaseStep::Read;
+    m_claimedTenure = continuedTenure(now);
+    return LeaseStep::Write;
 }
 
-auto LeaderLease::mayWrite(TimePoint now) const -> bool
+auto LeaderLease::continuedTenure(TimePoint now) const -> std::optional<StoreVersion>
 {
     if (isContinuable(now))
+        return m_continuation->tenure;
+    // A row of this holder from an earlier era may have come back from a copy.
+    const bool isOwn =
+        m_row.version.number > 0 && m_row.holder == m_holder && m_row.writtenIn == m_era;
+    return isOwn ? m_row.tenure : std::nullopt;
+}
+
+auto LeaderLease::mayWrite(TimePoint now) const -> bool
+{
+    if (continuedTenure(now))
         return true;
     const bool isMissing = m_row.version.number == 0;
-    // A row of this process from an earlier era may have come back from a copy.
-    if (!isMissing && m_row.holder == m_holder && m_row.writtenIn == m_era)
-        return true;
     const auto timeout =
         isMissing && !m_mayHaveBeenHeld ? m_timing.missingRowTimeout : m_timing.takeoverTimeout;
     return now - m_rowChangedAt >= timeout;
@@ -56,7 +66,7 @@
     if (isHeld(now))
         m_continuation = {tenure(), *m_renewedAt + m_timing.holdTimeout};
     forgetProof();
-    m_row = {{}, {era, 0}, era};
+    m_row = {{}, {era, 0}, era, {}};
     m_rowIsKnown = false;
     m_mayHaveBeenHeld = true;
     m_rowChangedAt = now;
@@ -89,7 +99,8 @@
     if (!isUnchanged)
         m_rowChangedAt = now;
     // A row that goes back within one era belongs to a store that lost it without saying so.
-    if (row.holder != m_holder || row.version < m_row.version)
+    const bool isOwn = row.holder == m_holder && (!m_tenure || row.tenure == m_tenure);
+    if (!isOwn || row.version < m_row.version)
         forgetProof();
     // Its writer has waited until a lease of the earlier era had ended.
     const bool isOfAnother = row.version.number > 0 && row.holder != m_holder;
@@ -130,12 +141,12 @@
     // The condition may have matched a version that was given out again.
     if (sentIn != m_era || version.era != m_era)
         return handleFailure();
-    m_row = {m_holder, version, m_era};
+    m_tenure = m_claimedTenure.value_or(version);
+    m_claimedTenure = m_tenure;
+    m_row = {m_holder, version, m_era, m_tenure};
     m_mayHaveBeenHeld = true;
     m_rowChangedAt = sentAt;
     m_renewedAt = sentAt;
-    if (!m_tenure)
-        m_tenure = isContinuable(sentAt) ? m_continuation->tenure : version;
     m_continuation.reset();
 }
 
--- a/src/libs/membership/leaderlease.h
+++ b/src/libs/membership/leaderlease.h
@@ -19,6 +19,9 @@
     /// The store's era as its writer knew it. In a later era the row may hide another holder, whose
     /// row was lost.
     Utils::StoreEra writtenIn{};
+    /// Version of the row when its holder became the holder. Unset if it is unknown, or if the
+    /// row's writer may be another machine with the holder's name.
+    std::optional<Utils::StoreVersion> tenure = std::nullopt;
 };
 
 /// What the caller should do next with the row.
@@ -46,6 +49,9 @@
 /// that learns of a new era waits as long as for a takeover, except for the one whose lease was
 /// valid then: all others wait longer than that lease lasts, so it writes its row again at once and
 /// keeps its tenure.
+///
+/// A process that starts again under its name finds its own row. It goes on at once in the same
+/// tenure, so that orders of the former process that are still under way bear the same token.
 class LeaderLease
 {
 public:
@@ -60,6 +66,8 @@
     auto handleEra(Utils::StoreEra era, Utils::TimePoint now) -> void;
     /// Row version that a write requires.
     auto expectedVersion() const -> Utils::StoreVersion;
+    /// Tenure that the write continues, which the written row must name; unset if it begins one.
+    auto claimedTenure() const -> std::optional<Utils::StoreVersion> { return m_claimedTenure; }
     /// The newest known era; a written row must name it.
     auto era() const -> Utils::StoreEra { return m_era; }
     /// A write sent at `sentAt` in the era `sentIn` succeeded and set the row's version.
@@ -76,7 +84,7 @@
     auto validFor(Utils::TimePoint now) const -> Utils::Duration;
     /// Version of the row; changes with each renewal.
     auto version() const -> Utils::StoreVersion;
-    /// Version of the row when this process became its holder; the same as long as no other process
+    /// Version of the row when its holder became the holder; the same as long as no other holder
     /// can have held the lease. Later holders have newer ones.
     auto tenure() const -> Utils::StoreVersion;
 
@@ -91,6 +99,8 @@
     auto learnEra(Utils::StoreEra era, Utils::TimePoint now) -> void;
     auto mayWrite(Utils::TimePoint now) const -> bool;
     auto isContinuable(Utils::TimePoint at) const -> bool;
+    /// The tenure that a write now continues.
+    auto continuedTenure(Utils::TimePoint now) const -> std::optional<Utils::StoreVersion>;
     auto isOutdated(const LeaseRow &row) const -> bool;
     auto forgetProof() -> void;
     auto applyRow(const LeaseRow &row, Utils::TimePoint now) -> void;
@@ -107,6 +117,7 @@
     Utils::TimePoint m_nextStepAt;
     std::optional<Utils::TimePoint> m_renewedAt;
     std::optional<Utils::StoreVersion> m_tenure;
+    std::optional<Utils::StoreVersion> m_claimedTenure; ///< By the latest write.
     std::optional<Continuation> m_continuation; ///< Until its row is written in the new era.
 };
 
--- /dev/null
+++ b/tests/auto/gateway/tst_placementlease.cpp
@@ -0,0 +1,152 @@
+// The lease on model placement over starts of gateways under a name that the row already bears.
+
+#include "memoryrowstore.h"
+
+#include <gateway/placementlease.h>
+#include <utils/boottime.h>
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+using namespace std::chrono_literals;
+using Gateway::PlacementLease;
+using nlohmann::json;
+
+namespace {
+
+class PlacementLeases : public testing::Test
+{
+protected:
+    static constexpr Membership::LeaseTiming Timing = {5ms, 60ms, 200ms, 200ms};
+    static constexpr auto Address = "127.0.0.1:7001";
+
+    auto start(const std::string &address = Address) -> std::shared_ptr<PlacementLease>
+    {
+        PlacementLease::Events events;
+        events.onAnswer = [](auto) {};
+        events.onOtherHolder = [](const auto &) {};
+        events.onStoreRecovered = [] {};
+        events.onWriteFinished = [] {};
+        return std::make_shared<PlacementLease>(
+            store, "t", "g1", *Http1::SocketAddress::parse(address), Timing, std::move(events));
+    }
+
+    /// Ticks until the lease is held; returns how long that took.
+    static auto acquire(PlacementLease &lease) -> Utils::Duration
+    {
+        const auto from = Utils::bootTime();
+        while (!lease.isHeld() && Utils::bootTime() - from < 2s) {
+            lease.tick();
+            std::this_thread::sleep_for(1ms);
+        }
+        EXPECT_TRUE(lease.isHeld());
+        return Utils::bootTime() - from;
+    }
+
+    /// Acquires the lease and renews it once; returns its fencing token.
+    auto holdBefore() -> std::uint64_t
+    {
+        const auto lease = start();
+        acquire(*lease);
+        const auto acquired = lease->version();
+        while (lease->version() == acquired) {
+            lease->tick();
+            std::this_thread::sleep_for(1ms);
+        }
+        lease->stop();
+        return lease->fence();
+    }
+
+    auto putRow(const json &value) -> void { store.put(PlacementLease::Key, value.dump()); }
+
+    MemoryRowStore store;
+};
+
+} // namespace
+
+// Guards against a lower fencing token after a higher one (issue 35, ONE): a process that is killed
+// and started again found its own name in the row and got a higher token than its orders under way.
+TEST_F(PlacementLeases, ProcessThatStartsAgainGoesOnUnderItsToken)
+{
+    const auto before = holdBefore();
+    const auto lease = start();
+    EXPECT_LT(acquire(*lease), 100ms);
+    EXPECT_EQ(lease->fence(), before);
+}
+
+// Guards against two holders (issue 35, ONE): a machine that replaces the holder under its name
+// took the lease at once.
+TEST_F(PlacementLeases, MachineThatReplacesTheHolderWaits)
+{
+    const auto before = holdBefore();
+    const auto lease = start("127.0.0.1:7002");
+    EXPECT_GE(acquire(*lease), Timing.takeoverTimeout);
+    EXPECT_GT(lease->fence(), before);
+}
+
+// The same in a later era, in which the row may hide another holder's.
+TEST_F(PlacementLeases, ProcessThatStartsAgainInALaterEraWaits)
+{
+    const auto before = holdBefore();
+    store.era = Utils::StoreEra(1);
+    const auto lease = start();
+    EXPECT_GE(acquire(*lease), Timing.takeoverTimeout);
+    EXPECT_GT(lease->fence(), before);
+}
+
+// Earlier software renews the row without its tenure.
+TEST_F(PlacementLeases, RowWithoutATenureIsWaitedFor)
+{
+    const auto before = holdBefore();
+    putRow({{"holder", "g1"}, {"address", Address}, {"era", 0}});
+    const auto lease = start();
+    EXPECT_GE(acquire(*lease), Timing.takeoverTimeout);
+    EXPECT_GT(lease->fence(), before);
+}
+
+// A tenure that is newer than its row, or no tenure at all, names nothing.
+TEST_F(PlacementLeases, RowWithAnImpossibleTenureIsWaitedFor)
+{
+    for (const json &tenure :
+         {json{{"era", 0}, {"number", 1000}}, json{{"era", 7}, {"number", 1}}, json("x"), json{},
+          json{{"era", 0}, {"number", "1"}}, json{{"era", 0}}, json{{"number", -1}}}) {
+        putRow({{"holder", "g1"}, {"address", Address}, {"era", 0}, {"tenure", tenure}});
+        const auto lease = start();
+        EXPECT_GE(acquire(*lease), Timing.takeoverTimeout) << tenure;
+        EXPECT_LT(lease->fence(), 100U) << tenure;
+        lease->stop();
+    }
+}
+
+// The process ends before it learns that it has become the holder.
+TEST_F(PlacementLeases, FirstWriteWithoutAnswerNamesItsTenure)
+{
+    const auto former = start();
+    store.losesAnswers = true;
+    const auto until = Utils::bootTime() + Timing.takeoverTimeout + 20ms;
+    while (Utils::bootTime() < until) {
+        former->tick();
+        std::this_thread::sleep_for(1ms);
+    }
+    former->stop();
+    ASSERT_FALSE(former->isHeld());
+    store.losesAnswers = false;
+    const auto lease = start();
+    EXPECT_LT(acquire(*lease), 100ms);
+    constexpr std::uint64_t firstVersion = 1;
+    EXPECT_EQ(lease->fence(), firstVersion);
+}
+
+// Rows of this software are read by earlier one, which knows these fields.
+TEST_F(PlacementLeases, RowKeepsTheFieldsOfEarlierSoftware)
+{
+    holdBefore();
+    const auto row = json::parse(store.value(PlacementLease::Key));
+    EXPECT_EQ(row["holder"], "g1");
+    EXPECT_EQ(row["address"], Address);
+    EXPECT_EQ(row["era"], 0);
+    EXPECT_EQ(row["tenure"], (json{{"era", 0}, {"number", 1}}));
+}
--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -54,7 +54,11 @@
                 break;
             case LeaseStep::Write:
                 if (row.version == holder.lease->expectedVersion()) {
-                    row = {"h" + std::to_string(h), {{}, row.version.number + 1}, {}};
+                    const StoreVersion written = {{}, row.version.number + 1};
+                    row = {"h" + std::to_string(h),
+                           written,
+                           {},
+                           holder.lease->claimedTenure().value_or(written)};
                     if (chance(0.1))
                         holder.lease->handleFailure(); // The answer was lost after taking effect.
                     else
