--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -1,5 +1,7 @@
 #include "leaderlease.h"
 
+#include <algorithm>
+
 namespace Membership {
 
 using Utils::StoreEra;
@@ -24,22 +26,37 @@
         return LeaseStep::Nothing;
     m_isRequestPending = true;
     m_nextStepAt = now + m_timing.renewInterval;
-    return m_rowIsKnown && mayWrite(now) ? LeaseStep::Write : LeaseStep::Read;
+    if (!m_rowIsKnown || !mayWrite(now))
+        return LeaseStep::Read;
+    m_claimedTenure = continuedTenure(now);
+    return LeaseStep::Write;
+}
+
+auto LeaderLease::continuedTenure(TimePoint now) const -> std::optional<StoreVersion>
+{
+    if (isContinuable(now))
+        return m_continuation->tenure;
+    // A row of this holder from an earlier era may have come back from a copy.
+    const bool isOwn =
+        m_row.version.number > 0 && m_row.holder == m_holder && m_row.writtenIn == m_era;
+    return isOwn ? m_row.tenure : std::nullopt;
 }
 
 auto LeaderLease::mayWrite(TimePoint now) const -> bool
 {
-    if (now < m_continuableUntil)
+    if (continuedTenure(now))
         return true;
     const bool isMissing = m_row.version.number == 0;
-    // A row of this process from an earlier era may have come back from a copy.
-    if (!isMissing && m_row.holder == m_holder && m_row.writtenIn == m_era)
-        return true;
     const auto timeout =
         isMissing && !m_mayHaveBeenHeld ? m_timing.missingRowTimeout : m_timing.takeoverTimeout;
     return now - m_rowChangedAt >= timeout;
 }
 
+auto LeaderLease::isContinuable(TimePoint at) const -> bool
+{
+    return m_continuation && at < m_continuation->until;
+}
+
 auto LeaderLease::handleEra(StoreEra era, TimePoint now) -> void
 {
     if (m_isEraKnown && era <= m_era)
@@ -47,9 +64,9 @@
     m_isEraKnown = true;
     m_era = era;
     if (isHeld(now))
-        m_continuableUntil = *m_renewedAt + m_timing.holdTimeout;
+        m_continuation = {tenure(), *m_renewedAt + m_timing.holdTimeout};
     forgetProof();
-    m_row = {{}, {era, 0}, era};
+    m_row = {{}, {era, 0}, era, {}};
     m_rowIsKnown = false;
     m_mayHaveBeenHeld = true;
     m_rowChangedAt = now;
@@ -82,11 +99,16 @@
     if (!isUnchanged)
         m_rowChangedAt = now;
     // A row that goes back within one era belongs to a store that lost it without saying so.
-    if (row.holder != m_holder || row.version < m_row.version)
+    const bool isOwn = row.holder == m_holder && (!m_tenure || row.tenure == m_tenure);
+    if (!isOwn || row.version < m_row.version)
         forgetProof();
+    // Its writer has waited until a lease of the earlier era had ended.
+    const bool isOfAnother = row.version.number > 0 && row.holder != m_holder;
+    if (isOfAnother && row.writtenIn == m_era)
+        m_continuation.reset();
     m_row = row;
     m_rowIsKnown = true;
-    if (now < m_continuableUntil)
+    if (isContinuable(now))
         m_nextStepAt = now;
     m_mayHaveBeenHeld = m_mayHaveBeenHeld || row.version.number > 0;
 }
@@ -119,13 +141,13 @@
     // The condition may have matched a version that was given out again.
     if (sentIn != m_era || version.era != m_era)
         return handleFailure();
-    m_row = {m_holder, version, m_era};
+    m_tenure = m_claimedTenure.value_or(version);
+    m_claimedTenure = m_tenure;
+    m_row = {m_holder, version, m_era, m_tenure};
     m_mayHaveBeenHeld = true;
     m_rowChangedAt = sentAt;
     m_renewedAt = sentAt;
-    m_continuableUntil = {};
-    if (!m_tenure)
-        m_tenure = version;
+    m_continuation.reset();
 }
 
 auto LeaderLease::handleFailure() -> void
@@ -136,7 +158,14 @@
 
 auto LeaderLease::isHeld(TimePoint now) const -> bool
 {
-    return m_renewedAt && now - *m_renewedAt < m_timing.holdTimeout;
+    return validFor(now) > Utils::Duration::zero();
+}
+
+auto LeaderLease::validFor(TimePoint now) const -> Utils::Duration
+{
+    if (!m_renewedAt)
+        return Utils::Duration::zero();
+    return std::max(*m_renewedAt + m_timing.holdTimeout - now, Utils::Duration::zero());
 }
 
 auto LeaderLease::version() const -> StoreVersion
