Stand-in wire: bytes held back of a reset connection are dropped in both directions; the lease's rows compare as before

Found while the tests of a copy beside another fault were written: a wire whose sender had reset its connection went on reading and writing the other direction, and a write to the closed socket raised SIGPIPE. The comparison of tenures in LeaderLease::applyRow had no effect: a process that holds a tenure has written the row's.

--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -99,8 +99,7 @@
     if (!isUnchanged)
         m_rowChangedAt = now;
     // A row that goes back within one era belongs to a store that lost it without saying so.
-    const bool isOwn = row.holder == m_holder && (!m_tenure || row.tenure == m_tenure);
-    if (!isOwn || row.version < m_row.version)
+    if (row.holder != m_holder || row.version < m_row.version)
         forgetProof();
     // Its writer has waited until a lease of the earlier era had ended.
     const bool isOfAnother = row.version.number > 0 && row.holder != m_holder;
--- a/src/libs/standins/standinwire.cpp
+++ b/src/libs/standins/standinwire.cpp
@@ -131,7 +131,9 @@
         if (forwardsToTarget())
             isOpen = receive(connection, connection->clientSocket, connection->toTarget)
                 && deliver(connection->targetSocket, connection->toTarget);
-        if (forwardsToClient())
+        if (connection->toTarget.isReset)
+            connection->toClient.pending.clear();
+        else if (forwardsToClient())
             isOpen = isOpen && receive(connection, connection->targetSocket, connection->toClient)
                 && deliver(connection->clientSocket, connection->toClient);
         const bool isFinished =
@@ -188,7 +190,7 @@
     {
         while (canWrite(direction)) {
             std::string &bytes = direction.pending.front().second;
-            const ssize_t count = to.send(bytes.data(), bytes.size());
+            const ssize_t count = to.send(bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (count < 0)
                 return wouldBlock();
             bytes.erase(0, static_cast<size_t>(count));
