A missing row is free at once only in the era before any copy

What callers saw: in the first seconds of a first start, two gateways acted as the holder, and the former holder's next order bore the lower fencing token.

Cause: a store may begin to count its eras at 0 or at 1, so era 1 was taken for that of a new store. Where eras begin at 0, the first copy is in era 1: a gateway of a first start then took a row that the copy lacked while the former holder relied on its lease.

Why this works: only era 0 tells that the store has lost nothing since it was new. In each other one a missing row is waited for like an unchanged one. A first start with a store that counts from 1 pays the whole wait once, 4.7 s.

Ruled out: telling the two kinds of stores apart (nothing in their answers does); always waiting (a first start in era 0 can't have had a holder, so the wait would gain nothing there).

Evidence: tst_dutylease FirstStartInAnyEraButTheZerothIsNoProofOfAFreeLease on the code before: tick() is Write 1 s after the holder's renewal, Read was expected.

Changed tests: FirstStartInALaterEra... began in era 1, which is no proof any more, and begins in era 0.

--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Highest era of a store that may be new, depending on where it begins to count.
-constexpr auto LastEraOfNewStore = StoreEra(1);
+/// The only era that can't be that of a copy. Stores that begin to count later have none.
+constexpr auto EraBeforeAnyCopy = StoreEra(0);
 
 } // namespace
 
@@ -79,7 +79,7 @@
         return handleEra(era, now);
     m_isEraKnown = true;
     m_era = era;
-    m_mayHaveBeenHeld = era > LastEraOfNewStore;
+    m_mayHaveBeenHeld = era > EraBeforeAnyCopy;
 }
 
 auto LeaderLease::isOutdated(const LeaseRow &row) const -> bool
--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -337,14 +337,14 @@
 // takes the missing row for a lease that nobody has held.
 TEST(LeaderLease, FirstStartInALaterEraIsNoProofOfAFreeLease)
 {
-    constexpr auto era1 = StoreEra(1);
+    constexpr auto era0 = StoreEra(0);
     constexpr auto era2 = StoreEra(2);
     const auto now = TimePoint() + std::chrono::hours(1);
     const LeaseTiming timing = {500ms, 1200ms, 4700ms, 0ms};
     LeaderLease holder("a", timing);
-    holder.handleRow({{}, {era1, 0}, era1}, now);
+    holder.handleRow({{}, {era0, 0}, era0}, now);
     ASSERT_EQ(holder.tick(now), LeaseStep::Write);
-    holder.handleWritten({era1, 5}, era1, now, now);
+    holder.handleWritten({era0, 5}, era0, now, now);
     // The store returns to a copy without the row. The holder doesn't know yet.
     LeaderLease other("b", timing);
     ASSERT_EQ(other.tick(now + 300ms), LeaseStep::Read);
@@ -353,6 +353,29 @@
     EXPECT_EQ(other.tick(now + 1s), LeaseStep::Read);
 }
 
+// Guards against two holders (issue 35, ONE): the same in the first era after a copy, if the store
+// counts from 0. From 1 on no era tells that a store is new.
+TEST(LeaderLease, FirstStartInAnyEraButTheZerothIsNoProofOfAFreeLease)
+{
+    constexpr auto era0 = StoreEra(0);
+    constexpr auto era1 = StoreEra(1);
+    const auto now = TimePoint() + std::chrono::hours(1);
+    const LeaseTiming timing = {500ms, 1200ms, 4700ms, 0ms};
+    LeaderLease holder("a", timing);
+    holder.handleRow({{}, {era0, 0}, era0}, now);
+    ASSERT_EQ(holder.tick(now), LeaseStep::Write);
+    holder.handleWritten({era0, 5}, era0, now, now);
+    LeaderLease other("b", timing);
+    ASSERT_EQ(other.tick(now + 300ms), LeaseStep::Read);
+    other.handleRow({{}, {era1, 0}, era1}, now + 300ms);
+    ASSERT_TRUE(holder.isHeld(now + 1s));
+    EXPECT_EQ(other.tick(now + 1s), LeaseStep::Read);
+    other.handleRow({{}, {era1, 0}, era1}, now + 1s);
+    EXPECT_EQ(other.tick(now + 4999ms), LeaseStep::Read);
+    other.handleRow({{}, {era1, 0}, era1}, now + 4999ms);
+    EXPECT_EQ(other.tick(now + 5500ms), LeaseStep::Write);
+}
+
 // The same for a process that has followed another table in the earlier era.
 TEST(LeaderLease, EraLearnedBeforeTheFirstReadIsNews)
 {
--- a/tests/auto/platform/tst_denials.cpp
+++ b/tests/auto/platform/tst_denials.cpp
@@ -19,7 +19,7 @@
         Gateway::DemandMessage message;
         message.name = "g2";
         message.demand = json::array();
-        message.seen.configurationRow = {Utils::StoreEra(1), row};
+        message.seen.configurationRow = {Utils::StoreEra(0), row};
         link->send(peers, message.toJson());
         runUntil([] { return false; }, 50ms);
     }
--- a/tests/auto/platform/tst_storecopy.cpp
+++ b/tests/auto/platform/tst_storecopy.cpp
@@ -68,7 +68,7 @@
         Gateway::DemandMessage message;
         message.name = peer.name;
         message.demand = json::array();
-        message.seen.configurationRow = {Utils::StoreEra(1), 1};
+        message.seen.configurationRow = {Utils::StoreEra(0), 1};
         peer.link->send(holder, message.toJson());
     };
     for (int i = 0; i < 4; ++i) {
@@ -106,7 +106,7 @@
     store->setEraHeader("18446744073709551615");
     store->compact();
     wait(300ms);
-    store->setEraHeader("1");
+    store->setEraHeader("0");
     store->compact();
     putRoute(2, "/second/");
     EXPECT_TRUE(runUntil([this] { return statusOf("/second/x", "a") == 200; }, 4s));
