A property for the lease over restarts under the same name with late orders

Processes are killed and start again under their names, a fifth of them on another machine; orders arrive up to half a second late; eras begin at 0 or 1; half of the runs are first starts.

The end of a continued lease and a successor's row in the new era are guarded by HoldersStayApartAndTokensRiseOverCopies and the tests beside it.

--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -91,20 +91,28 @@
         std::unique_ptr<LeaderLease> lease;
         bool isPaused = false;
         bool isCutOff = false;
+        size_t machine = 0; ///< Another one may take over its name.
+    };
+
+    struct StoredRow : LeaseRow
+    {
+        size_t machine = 0; ///< Of its writer, which the address names.
     };
 
     /// A write without an answer, which may still be applied.
     struct LateWrite
     {
         std::uint64_t expected = 0;
-        LeaseRow row;
+        StoredRow row;
     };
 
     explicit LeaseStore(size_t count)
         : processes(count)
     {
-        for (size_t i = 0; i < count; ++i)
+        for (size_t i = 0; i < count; ++i) {
+            processes[i].machine = i;
             start(i, timing());
+        }
     }
 
     static auto timing() -> LeaseTiming
@@ -125,22 +133,30 @@
     {
         const size_t kept = history.size() - std::min(steps, history.size());
         history.resize(kept);
-        row = history.empty() ? LeaseRow() : history.back();
+        row = history.empty() ? StoredRow() : history.back();
         counter = row.version.number;
         era = StoreEra(static_cast<std::uint64_t>(era) + 1);
     }
 
-    auto apply(std::uint64_t expected, LeaseRow written) -> bool
+    auto apply(std::uint64_t expected, StoredRow written) -> bool
     {
         if (row.version.number != expected)
             return false;
         written.version = {era, ++counter};
+        if (!written.tenure)
+            written.tenure = written.version;
         row = written;
         history.push_back(row);
         return true;
     }
 
-    auto read() const -> LeaseRow { return {row.holder, {era, row.version.number}, row.writtenIn}; }
+    auto read(const Process &process) const -> LeaseRow
+    {
+        return {row.holder,
+                {era, row.version.number},
+                row.writtenIn,
+                row.machine == process.machine ? row.tenure : std::nullopt};
+    }
 
     /// The step of one process; `losesAnswer` and `isLate` concern a write.
     auto step(size_t index, TimePoint now, bool fails, bool losesAnswer, bool isLate) -> void
@@ -155,9 +171,11 @@
         if (process.isCutOff || fails)
             return lease.handleFailure();
         if (next == LeaseStep::Read)
-            return lease.handleRow(read(), now);
-        const LateWrite write = {lease.expectedVersion().number,
-                                 {"h" + std::to_string(index), {}, lease.era()}};
+            return lease.handleRow(read(process), now);
+        const LateWrite write = {
+            lease.expectedVersion().number,
+            {{"h" + std::to_string(index), {}, lease.era(), lease.claimedTenure()},
+             process.machine}};
         if (isLate) {
             late.push_back(write);
             return lease.handleFailure();
@@ -169,9 +187,9 @@
 
     std::vector<Process> processes;
     StoreEra era{1};
-    LeaseRow row;
+    StoredRow row;
     std::uint64_t counter = 0;
-    std::vector<LeaseRow> history;
+    std::vector<StoredRow> history;
     std::vector<LateWrite> late;
 };
 
@@ -229,6 +247,78 @@
     RC_ASSERT(orders > 0);
 }
 
+// Guards against two holders and falling tokens (issue 35, ONE): processes are killed and start
+// again under their names, on the same machine or on another one, in a first start or later, while
+// orders arrive late, and the store, whose eras begin at 0 or 1, comes back from copies.
+RC_GTEST_PROP(LeaderLease, LateOrdersStayApartAndTokensRiseOverRestarts, ())
+{
+    struct Order
+    {
+        TimePoint arrivesAt;
+        size_t machine = 0;
+        StoreVersion token;
+    };
+    std::mt19937 random(*rc::gen::arbitrary<unsigned>());
+    const auto chance = [&random](double p) {
+        return std::uniform_real_distribution<>()(random) < p;
+    };
+    const auto index = [&random](size_t count) {
+        return std::uniform_int_distribution<size_t>(0, count - 1)(random);
+    };
+    // As long as the network may hold an order back.
+    constexpr auto longestDelay = 500ms;
+    LeaseTiming timing = LeaseStore::timing();
+    if (chance(0.5))
+        timing.missingRowTimeout = {};
+    const auto apart = timing.takeoverTimeout - timing.holdTimeout - longestDelay;
+    LeaseStore store(3);
+    store.era = StoreEra(chance(0.5) ? 0 : 1);
+    size_t machines = store.processes.size();
+    for (size_t i = 0; i < store.processes.size(); ++i)
+        store.start(i, timing);
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    std::vector<Order> underWay;
+    std::optional<Order> last;
+    for (int i = 0; i < 3000; ++i) {
+        now += step;
+        if (chance(0.005))
+            store.restoreCopy(index(30));
+        if (chance(0.02) && !store.late.empty()) {
+            store.apply(store.late.front().expected, store.late.front().row);
+            store.late.erase(store.late.begin());
+        }
+        if (chance(0.02)) {
+            const size_t restarted = index(store.processes.size());
+            if (chance(0.2))
+                store.processes[restarted].machine = machines++;
+            store.start(restarted, timing);
+        }
+        for (size_t p = 0; p < store.processes.size(); ++p) {
+            auto &process = store.processes[p];
+            if (chance(0.005))
+                process.isPaused = !process.isPaused;
+            if (chance(0.005))
+                process.isCutOff = !process.isCutOff;
+            store.step(p, now, chance(0.05), chance(0.05), chance(0.05));
+            if (!process.isPaused && process.lease->isHeld(now))
+                underWay.push_back({now + step * index(longestDelay / step + 1), process.machine,
+                                    process.lease->tenure()});
+        }
+        for (const Order &order : underWay) {
+            if (order.arrivesAt != now)
+                continue;
+            if (last && last->machine != order.machine) {
+                RC_ASSERT(now - last->arrivesAt >= apart);
+                RC_ASSERT(order.token > last->token);
+            }
+            RC_ASSERT(!last || order.token >= last->token);
+            last = order;
+        }
+        std::erase_if(underWay, [now](const Order &order) { return order.arrivesAt <= now; });
+    }
+    RC_ASSERT(last.has_value());
+}
+
 TEST(LeaderLease, HolderWhoseRowWentBackIsNoHolder)
 {
     TimePoint now = TimePoint() + std::chrono::hours(1);
