--- a/tests/auto/platform/storecopyfixture.h
+++ b/tests/auto/platform/storecopyfixture.h
@@ -18,6 +18,7 @@
         Http1::SocketAddress callers;
         std::string name;
         std::unique_ptr<StandIns::StandInWire> storeWire;
+        Http1::SocketAddress peers;
     };
 
     struct SentOrder
@@ -40,7 +41,28 @@
         storeLink = *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(wire->port()));
         startReadyGateway(name);
         storeLink.reset();
-        members.push_back({std::move(rows), std::move(gateway), address, name, std::move(wire)});
+        members.push_back(
+            {std::move(rows), std::move(gateway), address, name, std::move(wire), peers});
+    }
+
+    /// Ends a gateway's process and starts it again on the same machine.
+    auto restartMember(const std::string &name) -> void
+    {
+        peerAddress = member(name).peers;
+        endMember(name);
+        startMember(name);
+        peerAddress.reset();
+    }
+
+    /// Puts a path between the gateways and the engine.
+    auto insertPath(EmulatedEngine &engine) -> std::unique_ptr<StandIns::StandInWire>
+    {
+        auto path = std::move(
+            *StandIns::StandInWire::create(*loop, "127.0.0.1:0", engine.address().toString()));
+        engine.advertisedAddress =
+            *Http1::SocketAddress::parse("127.0.0.1:" + std::to_string(path->port()));
+        engine.announce();
+        return path;
     }
 
     auto endMember(const std::string &name) -> void
