The lease's model knows restarts under the own name, first starts and late orders

The row names the tenure; a gateway that starts again finds its own row; an order may arrive a step late, also after its gateway has started again; in a first start a missing row is free at once in the era before any copy.

Two new bounds, RESTART (beside late writes) and FIRST (beside a copy).

--- a/tests/models/placementlease.pml
+++ b/tests/models/placementlease.pml
@@ -7,14 +7,18 @@
  * given out again, and the era rises. Gateways learn of an era from any answer of the store, at
  * different times. The row names the era that its writer knew. In a new era a gateway waits for TAKE,
  * except for the one whose lease is valid when it learns of the era. The fencing token is the version,
- * era first, of a tenure's first write.
+ * era first, of a tenure's first write. The row names it. A holder that goes on in a new era keeps it, and so
+ * does a gateway that starts again and finds its own row of the present era. Where the system starts for the
+ * first time, a missing row is free at once in the era before any copy. An order may arrive late, also after
+ * its gateway has started again, FLIGHT at most after it was sent.
  *
  * Properties: orders of two different gateways are at least LEASE apart; tokens of orders never fall,
  * and those of two gateways differ.
  * Mutants: FROM_ANSWER, UNCONDITIONAL, EARLY, UNCHECKED, NO_ERA_WAIT, ANY_CONTINUES, OLD_PROOF,
- * ROW_OF_OLD_ERA, MISSING_IS_FREE, BARE_VERSION.
+ * ROW_OF_OLD_ERA, MISSING_IS_FREE, BARE_VERSION, NEW_TOKEN, NEW_TOKEN_IN_ERA, FREE_IN_COPY, LONG_FLIGHT.
  * Bounds: without copies by default; one copy beside late writes and gateways that start again with
- * COPY; two in a row with COPIES. */
+ * COPY; two in a row with COPIES; gateways that start again beside late writes and late orders with RESTART;
+ * a first start beside a copy, gateways that start again and late orders with FIRST. */
 
 #define GATEWAYS 2
 #if defined(COPY)
@@ -23,6 +27,22 @@
 #define MOST_VERSIONS 2
 #define MOST_ERAS 1
 #define RESTARTS
+#elif defined(RESTART)
+#define HOLD 2
+#define LEASE 1
+#define MOST_VERSIONS 3
+#define MOST_ERAS 0
+#define RESTARTS
+#define LATE_ORDERS
+#elif defined(FIRST)
+#define HOLD 2
+#define LEASE 1
+#define MOST_VERSIONS 2
+#define MOST_ERAS 1
+#define RESTARTS
+#define LATE_ORDERS
+#define NO_LATE
+#define FIRST_START
 #elif defined(COPIES)
 #define HOLD 1
 #define LEASE 1
@@ -35,6 +55,11 @@
 #define MOST_VERSIONS 4
 #define MOST_ERAS 0
 #endif
+#ifdef LONG_FLIGHT
+#define FLIGHT (HOLD + LEASE + 1)
+#else
+#define FLIGHT 1
+#endif
 /* Ages above this make no difference. */
 #ifdef UNCHECKED
 #define OLDEST (2 * HOLD + LEASE)
@@ -51,6 +76,8 @@
 byte version = 0;
 byte holders[MOST_VERSIONS + 1];
 byte writtenIn[MOST_VERSIONS + 1]; /* The era that the writer knew. */
+byte rowTenure[MOST_VERSIONS + 1];
+byte rowTenureEra[MOST_VERSIONS + 1];
 
 /* Each gateway's view of the row. */
 byte knownEra[GATEWAYS];
@@ -60,7 +87,8 @@
 bool isOwn[GATEWAYS];     /* The row is known, and is the gateway's own to renew. */
 byte rowAge[GATEWAYS];    /* Time since the gateway saw the row of another one change. */
 byte renewalAge[GATEWAYS];  /* Time since the last successful renewal was sent. */
-byte tenure[GATEWAYS];    /* Version of the tenure's first write, in the known era; 0: no tenure. */
+byte tenure[GATEWAYS];    /* Version of the tenure's first write, held or to be continued; 0: none. */
+byte tenureEra[GATEWAYS]; /* Era of that write. */
 byte continuable[GATEWAYS]; /* Time left of a lease that was valid when an era was learned. */
 
 /* The write in flight: 0 none, 1 sent, 2 applied. */
@@ -68,18 +96,37 @@
 byte sentIn[GATEWAYS];
 byte expected[GATEWAYS]; /* Once it is applied, the row's version. */
 byte writeAge[GATEWAYS];
+byte claimed[GATEWAYS];   /* The tenure that the write continues; 0: it begins one. */
+byte claimedEra[GATEWAYS];
 /* A write that timed out and may still be applied. */
 bool late[GATEWAYS];
 byte lateExpected[GATEWAYS];
 byte lateEra[GATEWAYS];
+byte lateClaimed[GATEWAYS];
+byte lateClaimedEra[GATEWAYS];
+
+#ifdef LATE_ORDERS
+/* An order on its way: its sender, or 0. */
+byte flightOf = 0;
+byte flightAge = 0;
+byte flightEra = 0;
+byte flightToken = 0;
+#endif
+#ifdef FREE_IN_COPY
+bool sawNewEra[GATEWAYS];
+#endif
 
 byte lastOrderer = 0;
 byte orderAge = LEASE;
 byte lastTokenEra = 0;
 byte lastToken = 0;
 
-#ifdef MISSING_IS_FREE
+#if defined(MISSING_IS_FREE)
 #define isFree(g) (knownVersion[g] == 0 || rowAge[g] >= TAKE)
+#elif defined(FREE_IN_COPY)
+#define isFree(g) ((knownVersion[g] == 0 && !sawNewEra[g]) || rowAge[g] >= TAKE)
+#elif defined(FIRST_START)
+#define isFree(g) ((knownVersion[g] == 0 && knownEra[g] == 0) || rowAge[g] >= TAKE)
 #else
 #define isFree(g) (rowAge[g] >= TAKE)
 #endif
@@ -129,6 +176,12 @@
 inline tick()
 {
     older(orderAge, LEASE);
+#ifdef LATE_ORDERS
+    if
+    :: flightOf != 0 -> flightAge++
+    :: else
+    fi;
+#endif
     for (i : 0 .. GATEWAYS - 1) {
         if
         /* The age of an own row makes no difference. */
@@ -137,7 +190,12 @@
         fi;
         older(renewalAge[i], OLDEST);
         if
-        :: continuable[i] > 0 -> continuable[i]--
+        :: continuable[i] > 0 ->
+            continuable[i]--;
+            if
+            :: continuable[i] == 0 && !isOwn[i] -> forgetTenure(i)
+            :: else
+            fi
         :: else
         fi;
         if
@@ -147,10 +205,21 @@
     }
 }
 
+inline forgetTenure(g)
+{
+    tenure[g] = 0;
+    tenureEra[g] = 0
+}
+
 inline forgetProof(g)
 {
     renewalAge[g] = OLDEST;
-    tenure[g] = 0
+    if
+#ifndef NEW_TOKEN_IN_ERA
+    :: continuable[g] > 0 -> skip
+#endif
+    :: else -> forgetTenure(g)
+    fi
 }
 
 inline forgetRow(g)
@@ -164,6 +233,9 @@
     if
     :: e > knownEra[g] && (knownEra[g] > 0 || aged[g]) ->
         knownEra[g] = e;
+#ifdef FREE_IN_COPY
+        sawNewEra[g] = true;
+#endif
         if
 #ifdef ANY_CONTINUES
         :: tenure[g] != 0 -> continuable[g] = HOLD
@@ -204,7 +276,12 @@
     knownVersion[g] = version;
     isOwn[g] = isRenewable(g);
     if
-    :: isOwn[g] -> rowAge[g] = 0
+    :: isOwn[g] ->
+        rowAge[g] = 0;
+#ifndef NEW_TOKEN
+        tenure[g] = rowTenure[version];
+        tenureEra[g] = rowTenureEra[version]
+#endif
     :: else
     fi
 }
@@ -215,14 +292,38 @@
     writing[g] = 0;
     sentIn[g] = 0;
     expected[g] = 0;
-    writeAge[g] = 0
+    writeAge[g] = 0;
+    claimed[g] = 0;
+    claimedEra[g] = 0
 }
 
-inline applyWrite(g, e)
+inline forgetLateWrite(g)
+{
+    late[g] = false;
+    lateExpected[g] = 0;
+    lateEra[g] = 0;
+    lateClaimed[g] = 0;
+    lateClaimedEra[g] = 0
+}
+
+inline leaveWrite(g)
+{
+    late[g] = true;
+    lateExpected[g] = expected[g];
+    lateEra[g] = sentIn[g];
+    lateClaimed[g] = claimed[g];
+    lateClaimedEra[g] = claimedEra[g]
+}
+
+inline applyWrite(g, e, t, te)
 {
     version++;
     holders[version] = g + 1;
-    writtenIn[version] = e
+    writtenIn[version] = e;
+    if
+    :: t != 0 -> rowTenure[version] = t; rowTenureEra[version] = te
+    :: else -> rowTenure[version] = version; rowTenureEra[version] = era
+    fi
 }
 
 inline handleWritten(g)
@@ -241,8 +342,8 @@
 #endif
         continuable[g] = 0;
         if
-        :: tenure[g] == 0 -> tenure[g] = expected[g]
-        :: else
+        :: claimed[g] != 0 -> tenure[g] = claimed[g]; tenureEra[g] = claimedEra[g]
+        :: else -> tenure[g] = expected[g]; tenureEra[g] = knownEra[g]
         fi
     fi;
     forgetWrite(g)
@@ -254,24 +355,36 @@
     era++;
     i = v + 1;
     do
-    :: i <= MOST_VERSIONS -> holders[i] = 0; writtenIn[i] = 0; i++
+    :: i <= MOST_VERSIONS ->
+        holders[i] = 0; writtenIn[i] = 0; rowTenure[i] = 0; rowTenureEra[i] = 0; i++
     :: else -> break
     od;
     i = 0;
     version = v
 }
 
-inline giveOrder(g)
+/* An order of the gateway number `by`, counted from 1, arrives. */
+inline takeOrder(by, e, t)
 {
-    assert(lastOrderer == 0 || lastOrderer == g + 1 || orderAge >= LEASE);
-    assert(isTokenAtLeast(knownEra[g], tenure[g]));
-    assert(lastOrderer == 0 || lastOrderer == g + 1 || isTokenAbove(knownEra[g], tenure[g]));
-    lastOrderer = g + 1;
-    lastTokenEra = knownEra[g];
-    lastToken = tenure[g];
+    assert(lastOrderer == 0 || lastOrderer == by || orderAge >= LEASE);
+    assert(isTokenAtLeast(e, t));
+    assert(lastOrderer == 0 || lastOrderer == by || isTokenAbove(e, t));
+    lastOrderer = by;
+    lastTokenEra = e;
+    lastToken = t;
     orderAge = 0
 }
 
+#ifdef LATE_ORDERS
+inline forgetFlight()
+{
+    flightOf = 0;
+    flightAge = 0;
+    flightEra = 0;
+    flightToken = 0
+}
+#endif
+
 #ifdef RESTARTS
 inline restart(g)
 {
@@ -280,12 +393,17 @@
     aged[g] = false;
     knownVersion[g] = 0;
     rowAge[g] = 0;
-    forgetProof(g);
     continuable[g] = 0;
+    forgetProof(g);
+#ifdef FREE_IN_COPY
+    sawNewEra[g] = false;
+#endif
+#ifndef NO_LATE
     if
-    :: writing[g] == 1 -> late[g] = true; lateExpected[g] = expected[g]; lateEra[g] = sentIn[g]
+    :: writing[g] == 1 -> leaveWrite(g)
     :: else
     fi;
+#endif
     forgetWrite(g)
 }
 #endif
@@ -296,9 +414,13 @@
     :: writing[g] == 0 -> readRow(g)
     :: knownEra[g] < era -> learnEra(g, knownEra[g] + 1) /* From an answer on another matter. */
     :: writing[g] == 0 && known[g] && mayWrite(g) && version < MOST_VERSIONS ->
-        writing[g] = 1; sentIn[g] = knownEra[g]; expected[g] = knownVersion[g]
+        writing[g] = 1; sentIn[g] = knownEra[g]; expected[g] = knownVersion[g];
+        if
+        :: continuable[g] > 0 || isOwn[g] -> claimed[g] = tenure[g]; claimedEra[g] = tenureEra[g]
+        :: else
+        fi
     :: writing[g] == 1 && mayApply(g, expected[g]) ->
-        applyWrite(g, sentIn[g]);
+        applyWrite(g, sentIn[g], claimed[g], claimedEra[g]);
         if
         :: isProofInEra(g) -> writing[g] = 2; expected[g] = version
         :: forgetWrite(g); forgetRow(g) /* The answer is lost, or proves nothing. */
@@ -307,13 +429,16 @@
     :: writing[g] == 2 -> handleWritten(g)
 #ifndef NO_LATE
     :: writing[g] == 1 && !late[g] -> /* No answer in time. */
-        late[g] = true; lateExpected[g] = expected[g]; lateEra[g] = sentIn[g];
-        forgetWrite(g); forgetRow(g)
+        leaveWrite(g); forgetWrite(g); forgetRow(g)
     :: late[g] && mayApply(g, lateExpected[g]) ->
-        applyWrite(g, lateEra[g]); late[g] = false; lateExpected[g] = 0; lateEra[g] = 0
-    :: late[g] -> late[g] = false; lateExpected[g] = 0; lateEra[g] = 0
+        applyWrite(g, lateEra[g], lateClaimed[g], lateClaimedEra[g]); forgetLateWrite(g)
+    :: late[g] -> forgetLateWrite(g)
+#endif
+    :: isHeld(g) -> takeOrder(g + 1, tenureEra[g], tenure[g])
+#ifdef LATE_ORDERS
+    :: isHeld(g) && flightOf == 0 ->
+        flightOf = g + 1; flightEra = tenureEra[g]; flightToken = tenure[g]
 #endif
-    :: isHeld(g) -> giveOrder(g)
 #ifdef RESTARTS
     :: knownEra[g] > 0 || aged[g] -> restart(g)
 #endif
@@ -329,7 +454,13 @@
     }
     i = 0;
     do
+#ifdef LATE_ORDERS
+    :: atomic { flightOf == 0 || flightAge < FLIGHT -> tick(); i = 0 }
+    :: atomic { flightOf != 0 -> takeOrder(flightOf, flightEra, flightToken); forgetFlight() }
+    :: atomic { flightOf != 0 -> forgetFlight() }
+#else
     :: atomic { tick(); i = 0 }
+#endif
     :: atomic { step(0) }
     :: atomic { step(1) }
     :: atomic { era < MOST_ERAS && version > 0 -> restore(0) }
