duty-taken tells whether the holder's tenure is new

The token and the era stood there before. tst_placementlease and tst_dutylease check the value, tst_catalogues the texts.

--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -59,6 +59,19 @@
 /// that still reach each other.
 const char *const QuotaSharesConfirmedKind = "parts-confirmed";
 
+auto nameOf(Membership::TenureOrigin origin) -> const char *
+{
+    switch (origin) {
+    case Membership::TenureOrigin::NewTenure:
+        break;
+    case Membership::TenureOrigin::LeaseOfEarlierEra:
+        return "continued-from-earlier-era";
+    case Membership::TenureOrigin::OwnRow:
+        return "continued-from-own-row";
+    }
+    return "new";
+}
+
 } // namespace
 
 struct PlacementCoordinator::Private : std::enable_shared_from_this<PlacementCoordinator::Private>
@@ -309,11 +322,13 @@
     auto handleLeaseChange(bool held) -> void
     {
         isHolder = held;
-        Utils::logEvent(held ? Utils::Event::DutyTaken : Utils::Event::DutyLost,
-                        {{"duty", "placement"},
-                         {"fence", lease->fence()},
-                         {"era", lease->version().era},
-                         {"rowVersion", lease->version().number}});
+        json fields = {{"duty", "placement"},
+                       {"fence", lease->fence()},
+                       {"era", lease->version().era},
+                       {"rowVersion", lease->version().number}};
+        if (held)
+            fields["tenure"] = nameOf(lease->tenureOrigin());
+        Utils::logEvent(held ? Utils::Event::DutyTaken : Utils::Event::DutyLost, fields);
         if (placement)
             placement->checkOrdersUnderWay();
         // Keep the record of orders until another gateway acquires the lease.
--- a/src/libs/gateway/placementlease.h
+++ b/src/libs/gateway/placementlease.h
@@ -52,6 +52,7 @@
     auto version() const -> Utils::StoreVersion;
     /// Fencing token of orders: the same in one tenure, and higher in each later one.
     auto fence() const -> std::uint64_t;
+    auto tenureOrigin() const -> Membership::TenureOrigin { return m_lease.tenureOrigin(); }
 
 private:
     auto read() -> void;
--- a/src/libs/membership/leaderlease.cpp
+++ b/src/libs/membership/leaderlease.cpp
@@ -36,10 +36,13 @@
 {
     if (isContinuable(now))
         return m_continuation->tenure;
-    // A row of this holder from an earlier era may have come back from a copy.
-    const bool isOwn =
-        m_row.version.number > 0 && m_row.holder == m_holder && m_row.writtenIn == m_era;
-    return isOwn ? m_row.tenure : std::nullopt;
+    return isOwnRow() ? m_row.tenure : std::nullopt;
+}
+
+/// A row of this holder from an earlier era may have come back from a copy.
+auto LeaderLease::isOwnRow() const -> bool
+{
+    return m_row.holder == m_holder && m_row.writtenIn == m_era;
 }
 
 auto LeaderLease::mayWrite(TimePoint now) const -> bool
@@ -140,6 +143,10 @@
     // The condition may have matched a version that was given out again.
     if (sentIn != m_era || version.era != m_era)
         return handleFailure();
+    if (!m_tenure)
+        m_tenureOrigin = !m_claimedTenure ? TenureOrigin::NewTenure
+            : m_continuation              ? TenureOrigin::LeaseOfEarlierEra
+                                          : TenureOrigin::OwnRow;
     m_tenure = m_claimedTenure.value_or(version);
     m_claimedTenure = m_tenure;
     m_row = {m_holder, version, m_era, m_tenure};
--- a/src/libs/membership/leaderlease.h
+++ b/src/libs/membership/leaderlease.h
@@ -31,6 +31,13 @@
     Write, ///< Write the own name, provided that the row still has `expectedVersion`.
 };
 
+/// How a holder came by its tenure.
+enum class TenureOrigin {
+    NewTenure,
+    LeaseOfEarlierEra, ///< It goes on, as its lease was valid when a new era was learned.
+    OwnRow, ///< It goes on from the row that the holder's former process has written.
+};
+
 /// When the lease is renewed, expires and may be taken over.
 struct LeaseTiming
 {
@@ -87,6 +94,7 @@
     /// Version of the row when its holder became the holder; the same as long as no other holder
     /// can have held the lease. Later holders have newer ones.
     auto tenure() const -> Utils::StoreVersion;
+    auto tenureOrigin() const -> TenureOrigin { return m_tenureOrigin; }
 
 private:
     /// A lease that was valid when a new era was learned.
@@ -99,6 +107,7 @@
     auto learnEra(Utils::StoreEra era, Utils::TimePoint now) -> void;
     auto mayWrite(Utils::TimePoint now) const -> bool;
     auto isContinuable(Utils::TimePoint at) const -> bool;
+    auto isOwnRow() const -> bool;
     /// The tenure that a write now continues.
     auto continuedTenure(Utils::TimePoint now) const -> std::optional<Utils::StoreVersion>;
     auto isOutdated(const LeaseRow &row) const -> bool;
@@ -118,6 +127,7 @@
     std::optional<Utils::TimePoint> m_renewedAt;
     std::optional<Utils::StoreVersion> m_tenure;
     std::optional<Utils::StoreVersion> m_claimedTenure; ///< By the latest write.
+    TenureOrigin m_tenureOrigin = TenureOrigin::NewTenure;
     std::optional<Continuation> m_continuation; ///< Until its row is written in the new era.
 };
 
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -182,7 +182,9 @@
          "A request with the feature was answered; such requests are sent again."},
         {Event::CrashTrialAllowed, "crash-trial-allowed",
          "One request with a refused feature may show whether it still crashes servers."},
-        {Event::DutyTaken, "duty-taken", "This process holds a shared duty's lease."},
+        {Event::DutyTaken, "duty-taken",
+         "This process holds a shared duty's lease. For placement, `fence` is the token of its "
+         "orders, and `tenure` tells whether it is new or goes on from before."},
         {Event::DutyLost, "duty-lost", "This process no longer holds a shared duty's lease."},
     };
     return catalogue;
--- a/tests/auto/gateway/tst_placementlease.cpp
+++ b/tests/auto/gateway/tst_placementlease.cpp
@@ -75,6 +75,7 @@
     const auto lease = start();
     EXPECT_LT(acquire(*lease), 100ms);
     EXPECT_EQ(lease->fence(), before);
+    EXPECT_EQ(lease->tenureOrigin(), Membership::TenureOrigin::OwnRow);
 }
 
 // Guards against two holders (issue 35, ONE): a machine that replaces the holder under its name
@@ -84,6 +85,7 @@
     const auto before = holdBefore();
     const auto lease = start("127.0.0.1:7002");
     EXPECT_GE(acquire(*lease), Timing.takeoverTimeout);
+    EXPECT_EQ(lease->tenureOrigin(), Membership::TenureOrigin::NewTenure);
     EXPECT_GT(lease->fence(), before);
 }
 
--- a/tests/auto/membership/tst_dutylease.cpp
+++ b/tests/auto/membership/tst_dutylease.cpp
@@ -353,6 +353,7 @@
     lease.handleWritten({StoreEra(3), 5}, StoreEra(3), now, now);
     EXPECT_TRUE(lease.isHeld(now));
     EXPECT_EQ(lease.tenure(), before);
+    EXPECT_EQ(lease.tenureOrigin(), TenureOrigin::LeaseOfEarlierEra);
 
     // A later holder has a higher one.
     LeaderLease later("b");
