A machine that took over the holder's name is another holder

What callers saw: none reported. A gateway kept its record of the engines over a gap in its lease if it saw no other holder, and then planned from it.

Now the address tells, too. Evidence: MachineThatTookOverTheNameIsAnotherHolder fails with the name alone (no other holder is named), and passes now with the seven others of tst_placementlease.

--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -118,7 +118,8 @@
     const bool isOfThisMachine = m_address.isConnectable() && address == m_address;
     const auto tenure = isOfThisMachine ? tenureFromJson(value, row.version) : std::nullopt;
     m_lease.handleRow({name, row.version, writtenIn, tenure}, Utils::bootTime());
-    if (address && address->isConnectable() && name != m_name)
+    const bool isOther = name != m_name || address != m_address;
+    if (address && address->isConnectable() && isOther)
         m_events.onOtherHolder(*address);
 }
 
--- a/src/libs/gateway/placementlease.h
+++ b/src/libs/gateway/placementlease.h
@@ -21,7 +21,7 @@
     {
         /// An answer of the store arrived; called before the lease uses it.
         std::function<void(Utils::StoreEra)> onAnswer;
-        /// The row names another gateway.
+        /// The row names another gateway, or another machine under this one's name.
         std::function<void(const Http1::SocketAddress &)> onOtherHolder;
         std::function<void()> onStoreRecovered; ///< The store answers again after an outage.
         std::function<void()> onWriteFinished; ///< A write has finished, successfully or not.
--- a/tests/auto/gateway/tst_placementlease.cpp
+++ b/tests/auto/gateway/tst_placementlease.cpp
@@ -27,7 +27,7 @@
     {
         PlacementLease::Events events;
         events.onAnswer = [](auto) {};
-        events.onOtherHolder = [](const auto &) {};
+        events.onOtherHolder = [this](const auto &holder) { otherHolder = holder; };
         events.onStoreRecovered = [] {};
         events.onWriteFinished = [] {};
         return std::make_shared<PlacementLease>(
@@ -63,6 +63,7 @@
     auto putRow(const json &value) -> void { store.put(PlacementLease::Key, value.dump()); }
 
     MemoryRowStore store;
+    std::optional<Http1::SocketAddress> otherHolder; ///< As the lease has named it.
 };
 
 } // namespace
@@ -89,6 +90,24 @@
     EXPECT_GT(lease->fence(), before);
 }
 
+// Guards against two views of who decides (issue 35, ONE): a former holder kept its record of the
+// engines although a machine that took over its name had held the lease meanwhile.
+TEST_F(PlacementLeases, MachineThatTookOverTheNameIsAnotherHolder)
+{
+    const auto former = start();
+    acquire(*former);
+    std::this_thread::sleep_for(Timing.holdTimeout);
+    const auto other = start("127.0.0.1:7002");
+    acquire(*other);
+    otherHolder.reset();
+    for (int i = 0; i < 50 && !otherHolder; ++i) {
+        former->tick();
+        std::this_thread::sleep_for(1ms);
+    }
+    EXPECT_FALSE(former->isHeld());
+    EXPECT_EQ(otherHolder, *Http1::SocketAddress::parse("127.0.0.1:7002"));
+}
+
 // The same in a later era, in which the row may hide another holder's.
 TEST_F(PlacementLeases, ProcessThatStartsAgainInALaterEraWaits)
 {
