An answer that may lack its body is a failure

The head had neither a length nor chunks, so the end of the connection counted as the end of the answer. A stream of comments alone passed in the same way.

Ruled out: a head that is cut anywhere before its empty line is not taken for a head, whether the connection is closed or reset; with a length or chunks, a missing body is noticed; a continuation without a new event was kept from the caller before (ContinuedStream passed without the change).

Why this works: where only the end of the connection shows that an answer is whole, and there is no content at all, the bytes of a whole answer and of one that broke off are the same, so nothing may be claimed. The request is repeated where its route allows that, else it gets 502.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -194,7 +194,7 @@
         return handleNotRun();
     ++m_possibleRuns;
     const bool isMalformed = m_answer.isEncoded || (m_answer.isSuccess() && !m_answer.isSigned)
-        || m_splitter.hasPartialEvent();
+        || m_splitter.hasPartialEvent() || mayLackItsBody();
     const bool isError = m_answer.status >= FirstServerError;
     const std::string server = m_attempt->backendId();
     // A crash may end such an answer as well, as a machine may end connections in an orderly way.
@@ -244,6 +244,15 @@
     }
 }
 
+/// True if a successful answer has no content and nothing but the connection's end shows that it
+/// is whole: a server that fails right after the head leaves the same bytes.
+auto RequestFlow::mayLackItsBody() const -> bool
+{
+    const bool hasContent = !m_body.empty() || m_attemptBegunAt || m_hasEventsWithoutId;
+    return m_answer.isSuccess() && m_answer.endsWithConnection && !hasContent
+        && m_request.method != "HEAD";
+}
+
 /// True if a successful answer has to continue a stream, but adds nothing to it. The server may
 /// have had nothing to add, but nothing shows that: a stream's last event looks like any other.
 auto RequestFlow::isEmptyContinuation() const -> bool
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -79,6 +79,7 @@
     auto handleComplete() -> void;
     auto handleNotRun() -> void;
     auto isEmptyContinuation() const -> bool;
+    auto mayLackItsBody() const -> bool;
     /// True if the answer to the current attempt has begun long enough ago that the server did not
     /// crash on the request.
     auto hasOutlivedBeginning() const -> bool;
