A stopping gateway refuses late requests by the clock

What callers saw: a request that was sent over three seconds after the stop request of one gateway could be taken, sent to a server and cut at the process's end, also one that may run once only (LOST).

Cause: whether requests were still taken was a flag, set by a timer of 50 ms. The event loop handles what arrives before its timers, so after a stall (a machine with a small share of a processor) the first request that was read found the flag as it was before.

Ruled out: requests that wait, for a server, quota, a permit or a confirmation, were read before the admission ended, so they were sent in time; a body that arrives late counts when its last byte is read.

Why this works: StopSchedule holds the times, and each request asks it with the clock's time when it is validated. No timer decides.

Evidence: tst_stopping RequestReadBeforeALateTimerIsRefused before: status 200 instead of 503, the engine ran the request. After: refused with Retry-After and Connection: close, not run.

--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -2,7 +2,9 @@
 
 #include "configuration.h"
 #include "ratelimittable.h"
+#include "stopschedule.h"
 
+#include <net/reactor.h>
 #include <routing/crashfeature.h>
 #include <routing/retrybudget.h>
 
@@ -10,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,10 +20,6 @@
 class Metrics;
 }
 
-namespace Net {
-class Reactor;
-}
-
 namespace Gateway {
 
 class BackendRegistry;
@@ -64,11 +63,14 @@
     std::function<void()> onQuotaShortage =
         nullptr; ///< Called when a request finds too little quota.
     std::function<void()> onModelNeeded = nullptr; ///< Called when a request waits for a model.
-    bool isStopping = false; ///< New requests are refused.
+    std::optional<StopSchedule> stop = {}; ///< Set once the process has been asked to stop.
     RateLimitTable rateLimits = {}; ///< Named by backend servers.
     PermitExchange *permits = nullptr; ///< Set before the first request arrives.
     SuspectExchange *suspects = nullptr; ///< Set before the first request arrives.
 
+    /// True if new requests are refused. Timers may be late, so the clock decides.
+    auto isStopping() const -> bool { return stop && !stop->acceptsRequests(reactor.now()); }
+
     auto retryBudget(const std::string &service) -> Routing::RetryBudget &
     {
         const auto found = retryBudgets.find(service);
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -47,14 +47,6 @@
 constexpr milliseconds DispatchInterval(25);
 /// Shortest delay of the event loop that is logged.
 constexpr milliseconds LoggedLoopDelay(300);
-/// After a stop request, new connections still arrive until the balancer has checked readiness
-/// twice.
-constexpr milliseconds MinStopTime(3200);
-/// Requests that arrive later than this are refused: the platform tolerates that a stopping process
-/// cuts off only requests sent in the first three seconds.
-constexpr milliseconds StopAdmissionTime(2900);
-/// Reserved from the stop time for the process's exit.
-constexpr milliseconds StopMargin(700);
 constexpr milliseconds StopCheckInterval(50);
 /// Delay after which a message to all gateways is sent a second time.
 constexpr milliseconds RebroadcastDelay(300);
@@ -122,6 +114,7 @@
     StalenessDetector serverListStaleness{serverListPollInterval()
                                           + Constants::ServerListLagMargin};
     bool draining = false;
+    Utils::TimePoint stopRequestedAt; ///< Set while `draining`.
     std::optional<Utils::TimePoint> lastTickAt;
     Utils::Duration longestDelay{0}; ///< Longest event-loop delay since the metrics were last read.
 
@@ -483,29 +476,31 @@
             if (sessions.count(session) > 0)
                 session->closeAfterAnswer();
         }
-        const auto startedAt = reactor.now();
-        stopTimer = std::make_unique<Net::PeriodicTimer>(
-            reactor, StopCheckInterval, [this, startedAt, done] {
-                const auto passed = reactor.now() - startedAt;
-                const bool anyBusy =
-                    std::any_of(sessions.begin(), sessions.end(),
-                                [](const auto &item) { return item.second->isBusy(); });
-                context.isStopping = passed >= StopAdmissionTime;
-                // By now the balancer has noticed that this gateway is stopping.
-                if (passed >= MinStopTime && callerListener) {
-                    callerListener->acceptPending();
-                    callerListener.reset();
-                }
-                const bool isOver = passed >= settings.stopTime - StopMargin;
-                if ((anyBusy || passed < MinStopTime) && !isOver)
-                    return;
-                for (CallerSession *session : openSessions()) {
-                    if (sessions.count(session) > 0)
-                        session->abort();
-                }
-                placement->stop();
-                done();
-            });
+        stopRequestedAt = reactor.now();
+        context.stop = StopSchedule::create(stopRequestedAt, settings.stopTime);
+        stopTimer = std::make_unique<Net::PeriodicTimer>(reactor, StopCheckInterval,
+                                                         [this, done] { checkStop(done); });
+    }
+
+    /// Ends the process once no request is open, or none can be finished any more.
+    auto checkStop(const std::function<void()> &done) -> void
+    {
+        const auto now = reactor.now();
+        const bool anyBusy = std::any_of(sessions.begin(), sessions.end(),
+                                         [](const auto &item) { return item.second->isBusy(); });
+        const bool isListening = context.stop->acceptsConnections(now);
+        if (!isListening && callerListener) {
+            callerListener->acceptPending();
+            callerListener.reset();
+        }
+        if ((anyBusy || isListening) && !context.stop->isOver(now))
+            return;
+        for (CallerSession *session : openSessions()) {
+            if (sessions.count(session) > 0)
+                session->abort();
+        }
+        placement->stop();
+        done();
     }
 };
 
@@ -551,6 +546,8 @@
 auto GatewayServer::reload(const GatewaySettings &settings) -> void
 {
     d->settings.stopTime = settings.stopTime;
+    if (d->draining)
+        d->context.stop = StopSchedule::create(d->stopRequestedAt, settings.stopTime);
     d->settings.retryRatio = settings.retryRatio;
     d->settings.retrySlack = settings.retrySlack;
     d->limitRetries();
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -86,7 +86,7 @@
 /// for a confirmation of the configuration.
 auto RequestFlow::validate() -> bool
 {
-    if (!m_configuration || m_context.isStopping) {
+    if (!m_configuration || m_context.isStopping()) {
         refuse(m_configuration ? RefusalReason::Draining : RefusalReason::NotFresh);
         return false;
     }
@@ -357,7 +357,7 @@
 {
     const auto self = shared_from_this();
     // Callers of a stopping gateway are better served elsewhere than by waiting for its end.
-    if (m_isWaiting && m_context.isStopping)
+    if (m_isWaiting && m_context.isStopping())
         return abort();
     if (!m_isWaiting)
         return;
--- /dev/null
+++ b/tests/auto/platform/tst_stopping.cpp
@@ -0,0 +1,95 @@
+// A gateway is asked to stop. Each test checks that a request which is taken is answered, and that
+// the others are told in time that they have not run.
+
+#include "gatewayfixture.h"
+
+#include <thread>
+
+namespace {
+
+class Stopping : public Gateways
+{
+protected:
+    auto SetUp() -> void override
+    {
+        Gateways::SetUp();
+        json changes;
+        for (const auto &[prefix, kind, service] :
+             {std::tuple{"/file/", "unsafe", "app"}, std::tuple{"/batch/", "streaming", "lm"}})
+            changes["routes"].push_back({{"name", prefix},
+                                         {"host", "h.example"},
+                                         {"prefix", prefix},
+                                         {"routeType", kind},
+                                         {"timeoutMs", 20000},
+                                         {"targetLatencyMs", 100},
+                                         {"service", service},
+                                         {"maxAttempts", 2},
+                                         {"resumable", true}});
+        putConfiguration(2, changes);
+    }
+
+    static auto requestFor(const std::string &target, const std::string &extra = {}) -> std::string
+    {
+        return "POST " + target
+            + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nAuthorization: Bearer key1\r\n"
+              "Deadline-Ms: 20000\r\n"
+            + extra + "Content-Length: 4\r\n\r\nbody";
+    }
+
+    auto runFor(std::chrono::milliseconds time) -> void
+    {
+        runUntil([] { return false; }, time);
+    }
+
+    auto startStopping() -> void
+    {
+        gateway->drain([this] { isDone = true; });
+    }
+
+    auto connectCaller(CallerAnswer &answer) -> void
+    {
+        answer.connection = std::move(*Http1::ClientConnection::connect(*loop, address));
+        ASSERT_TRUE(runUntil([&] { return answer.connection->isConnected(); }));
+        runFor(10ms);
+    }
+
+    auto awaitAnswer(const CallerAnswer &answer) -> void
+    {
+        EXPECT_TRUE(runUntil([&] { return answer.end.has_value(); }, 8s));
+    }
+
+    bool isDone = false;
+};
+
+/// Keeps the event loop from running, as long work or a lack of processor time does.
+auto blockLoop(std::chrono::milliseconds time) -> void
+{
+    std::this_thread::sleep_for(time);
+}
+
+auto expectRefusal(const CallerAnswer &answer) -> void
+{
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.fields.has("Retry-After"));
+    EXPECT_TRUE(answer.fields.hasToken("Connection", "close"));
+}
+
+} // namespace
+
+// Guards against a request that is sent over three seconds after the stop request, runs, and is cut
+// at the process's end (issue 35, LOST): the event loop was late, and the request was read before
+// the timer that ends the admission.
+TEST_F(Stopping, RequestReadBeforeALateTimerIsRefused)
+{
+    auto &engine = addEngine("i-1", "app");
+    startReadyGateway();
+    startStopping();
+    runFor(2700ms);
+    CallerAnswer answer;
+    connectCaller(answer);
+    blockLoop(400ms);
+    call(answer, requestFor("/file/x"));
+    awaitAnswer(answer);
+    expectRefusal(answer);
+    EXPECT_EQ(engine.runs(), 0);
+}
