Time before a late event loop reads the stop request counts

Cause: the signal waits in a descriptor like all other events, and a stall or a backlog delays it; no time comes with it.

Why this works: the times are counted from the last moment at which the loop is known to have run its timers, every 25 ms, so they are early by that much at most and never late by a stall. A signal that waits behind a backlog of other events, with timers running between them, may still be counted late by that backlog; the reserve of 100 ms covers it.

Evidence: tst_stopping TimeBeforeALateLoopReadTheStopRequestCounts (a stall of 500 ms, a request at 3.05 s) before: status 200 instead of 503, the engine ran the request. After: refused, not run.

--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -476,7 +476,8 @@
             if (sessions.count(session) > 0)
                 session->closeAfterAnswer();
         }
-        stopRequestedAt = reactor.now();
+        // The request may have come at any time since the event loop was last seen to run.
+        stopRequestedAt = lastTickAt.value_or(reactor.now());
         context.stop = StopSchedule::create(stopRequestedAt, settings.stopTime);
         stopTimer = std::make_unique<Net::PeriodicTimer>(reactor, StopCheckInterval,
                                                          [this, done] { checkStop(done); });
--- a/tests/auto/platform/tst_stopping.cpp
+++ b/tests/auto/platform/tst_stopping.cpp
@@ -2,6 +2,7 @@
 // the others are told in time that they have not run.
 
 #include "gatewayfixture.h"
+#include "rawengine.h"
 
 #include <thread>
 
@@ -13,7 +14,11 @@
     auto SetUp() -> void override
     {
         Gateways::SetUp();
-        json changes;
+        json changes = {{"limits",
+                         {{"maxHeaderBytes", 4096},
+                          {"maxBodyBytes", 100000},
+                          {"headerTimeoutMs", 3000},
+                          {"idleTimeoutMs", 5000}}}};
         for (const auto &[prefix, kind, service] :
              {std::tuple{"/file/", "unsafe", "app"}, std::tuple{"/batch/", "streaming", "lm"}})
             changes["routes"].push_back({{"name", prefix},
@@ -93,3 +98,20 @@
     expectRefusal(answer);
     EXPECT_EQ(engine.runs(), 0);
 }
+
+// Guards against the same if the event loop was late when the stop request came (issue 35, LOST):
+// the time is counted by the platform from its signal on.
+TEST_F(Stopping, TimeBeforeALateLoopReadTheStopRequestCounts)
+{
+    auto &engine = addEngine("i-1", "app");
+    startReadyGateway();
+    runFor(100ms);
+    blockLoop(500ms);
+    startStopping();
+    runFor(2550ms);
+    CallerAnswer answer;
+    sendOnNewConnection(answer, address, requestFor("/file/x"));
+    awaitAnswer(answer);
+    expectRefusal(answer);
+    EXPECT_EQ(engine.runs(), 0);
+}
