--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -110,6 +110,7 @@
         settings.metricsAddress = *Http1::SocketAddress::parse("127.0.0.1:" + freePort());
         settings.storeAddress = storeLink.value_or(store->address());
         settings.isFirstStart = isFirstStart;
+        settings.stopTime = stopTime;
         settings.retryRatio = 0.2;
         settings.retrySlack = retrySlack;
         address = settings.callerAddress;
@@ -207,6 +208,7 @@
 
     const std::vector<int> allEvents = {1, 2, 3, 4, 5};
     bool isFirstStart = true;
+    std::chrono::milliseconds stopTime{8000};
     double retrySlack = 50; ///< Retries in one window, over all gateways.
     std::unique_ptr<Net::Reactor> loop;
     std::unique_ptr<EmulatedStore> store;
--- a/tests/auto/platform/tst_stopping.cpp
+++ b/tests/auto/platform/tst_stopping.cpp
@@ -115,3 +115,34 @@
     expectRefusal(answer);
     EXPECT_EQ(engine.runs(), 0);
 }
+
+// Guards against requests that are taken between the last answers and the process's end and get no
+// answer (issue 35, LOST): the stop time was shorter than the time of admission.
+TEST_F(Stopping, NothingIsTakenAfterAShortStopTime)
+{
+    stopTime = 1500ms;
+    auto &engine = addEngine("i-1", "app");
+    startReadyGateway();
+    startStopping();
+    CallerAnswer answer;
+    connectCaller(answer);
+    ASSERT_TRUE(runUntil([this] { return isDone; }));
+    call(answer, requestFor("/file/x"));
+    awaitAnswer(answer);
+    expectRefusal(answer);
+    EXPECT_EQ(engine.runs(), 0);
+}
+
+// Guards against requests that are cut before the last sixth of the stop time (issue 35, LOST).
+TEST_F(Stopping, ShortStopTimeIsUsedUntilItsLastSixth)
+{
+    stopTime = 1500ms;
+    auto &engine = addEngine("i-1", "app");
+    engine.behaviour.processingTime = 1100ms;
+    startReadyGateway();
+    startStopping();
+    CallerAnswer answer;
+    sendOnNewConnection(answer, address, requestFor("/file/x"));
+    awaitAnswer(answer);
+    EXPECT_EQ(answer.status, 200);
+}
