A stopping gateway lets begun streams wait for a server

What callers saw: in a planned stop, a resumable stream whose server was silent for 1.5 s was cut 2.9 s after the stop request, though its server had not broken off (LOST: silence is no reason to end an answer sooner).

Cause: the gateway had given up the silent server for another one, which was full, so the stream waited; at the end of the admission all waiting requests were refused, and a begun answer can only be refused by cutting it.

Why this works: only requests whose answer has not begun are better served elsewhere. Begun ones wait on, until their own limits or the end of the stop time.

Evidence: tst_stopping BegunStreamThatWaitsForAnotherEngineGoesOn before: isWhole() false, events {1} instead of {1, 2}. After: complete.

--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -356,8 +356,9 @@
 auto RequestFlow::tryDispatch() -> void
 {
     const auto self = shared_from_this();
-    // Callers of a stopping gateway are better served elsewhere than by waiting for its end.
-    if (m_isWaiting && m_context.isStopping())
+    // Callers of a stopping gateway are better served elsewhere than by waiting for its end. The
+    // answer to one whose stream has begun can only be continued here.
+    if (m_isWaiting && m_context.isStopping() && !m_answerBegun)
         return abort();
     if (!m_isWaiting)
         return;
--- a/tests/auto/platform/tst_stopping.cpp
+++ b/tests/auto/platform/tst_stopping.cpp
@@ -146,3 +146,38 @@
     awaitAnswer(answer);
     EXPECT_EQ(answer.status, 200);
 }
+
+// Guards against a stream that is cut although its engine only was silent (issue 35, LOST): it
+// waited for another engine when the admission ended.
+TEST_F(Stopping, BegunStreamThatWaitsForAnotherEngineGoesOn)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s1\r\n\r\n";
+    bool isFull = true;
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        if (arrival.number == 1)
+            return raw.write(arrival.connection, head + "id: 1\ndata: token\n\n");
+        if (isFull)
+            return raw.write(arrival.connection,
+                             "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a1\r\n"
+                             "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        raw.write(arrival.connection, head + "id: 2\ndata: token\n\n");
+        raw.finish(arrival.connection);
+    });
+    for (const char *id : {"i-1", "i-2"}) {
+        auto &engine = addEngine(id, "lm", {"m1"});
+        engine.advertisedAddress = raw.address();
+        engine.announce();
+    }
+    startReadyGateway();
+    startStopping();
+    runFor(900ms);
+    CallerAnswer answer;
+    sendOnNewConnection(answer, address,
+                        requestFor("/batch/x", "Model: m1\r\nToken-Count: 10,10\r\n"));
+    runFor(2400ms);
+    EXPECT_GE(raw.arrivals().size(), 2U);
+    isFull = false;
+    awaitAnswer(answer);
+    EXPECT_TRUE(answer.isWhole());
+    EXPECT_EQ(events(answer.body), (std::vector<int>{1, 2}));
+}
