A stopping gateway awaits requests that it is receiving

What callers saw: a request whose body was still arriving 3.2 s after the stop request was reset without an answer if the gateway had no other request open. Part of it had been read, so a caller may not repeat it if it may run once only.

Why this works: a session counts as busy while a part of a request has been received. Its end is the whole request, which is refused as not run, the time limit for requests, or the end of the stop time.

--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -65,7 +65,7 @@
 
 auto CallerSession::isBusy() const -> bool
 {
-    return m_flow != nullptr;
+    return m_flow != nullptr || m_connection->isReceivingRequest();
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/callersession.h
+++ b/src/libs/gateway/callersession.h
@@ -24,6 +24,7 @@
     auto closeAfterAnswer() -> void;
     /// Ends the open request, if any, with a refusal.
     auto abort() -> void;
+    /// True if a request is open or being received.
     auto isBusy() const -> bool;
 
 private:
--- a/src/libs/http1/serverconnection.cpp
+++ b/src/libs/http1/serverconnection.cpp
@@ -242,10 +242,15 @@
     return !d->stream || d->stream->peerHasClosed();
 }
 
+auto ServerConnection::isReceivingRequest() const -> bool
+{
+    return d->stream && !d->answering && (d->reader->hasBegun() || !d->pending.empty());
+}
+
 auto ServerConnection::closeAfterAnswer() -> void
 {
     d->closesAfterAnswer = true;
-    if (d->stream && !d->answering && !d->reader->hasBegun() && d->pending.empty())
+    if (d->stream && !d->answering && !isReceivingRequest())
         d->close();
 }
 
--- a/src/libs/http1/serverconnection.h
+++ b/src/libs/http1/serverconnection.h
@@ -56,6 +56,8 @@
 
     /// True if the client has closed the connection, even if this has not been read yet.
     auto clientHasDisconnected() const -> bool;
+    /// True if a part of a request has been received.
+    auto isReceivingRequest() const -> bool;
     /// Closes the connection after the next answer, or immediately if it is idle.
     auto closeAfterAnswer() -> void;
     /// Closes the connection after the next answer, also if no request has been received yet.
--- a/tests/auto/platform/tst_stopping.cpp
+++ b/tests/auto/platform/tst_stopping.cpp
@@ -181,3 +181,25 @@
     EXPECT_TRUE(answer.isWhole());
     EXPECT_EQ(events(answer.body), (std::vector<int>{1, 2}));
 }
+
+// Guards against a request whose connection is reset while it arrives (issue 35, LOST): the gateway
+// had no other request open.
+TEST_F(Stopping, RequestThatIsBeingReceivedIsAwaited)
+{
+    auto &engine = addEngine("i-1", "app");
+    startReadyGateway();
+    startStopping();
+    runFor(2500ms);
+    const std::string request = requestFor("/file/x");
+    auto caller = std::move(*Http1::TcpStream::connect(*loop, address));
+    std::string received;
+    caller->setEvents({[&](std::string_view data) { received += data; }, [](Http1::StreamEnd) {}});
+    caller->write(request.substr(0, request.size() - 1));
+    runFor(1100ms);
+    EXPECT_FALSE(isDone);
+    caller->write(request.substr(request.size() - 1));
+    EXPECT_TRUE(runUntil([&] { return received.find("\r\n\r\n") != std::string::npos; }, 1s));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 503")) << received;
+    EXPECT_TRUE(runUntil([this] { return isDone; }, 300ms));
+    EXPECT_EQ(engine.runs(), 0);
+}
