The last answer on a connection is sent whole to a slow client

What callers saw: an answer on a connection that ends after it was cut one second after the gateway had handed it over, however much was still on its way, and at a planned stop the process ended without waiting for such answers at all (LOST: it had been passed on, and the connection ended without a complete answer). Only large answers over slow links are affected, as the system's own buffers take the first megabytes.

Cause: one timer bounded both the sending of the rest and the wait for the peer's end. The connection was forgotten as soon as it had nothing more to say, so the stop did not see it.

Why this works: the timer starts again with all that is sent, so only a peer that takes nothing for a second is cut off; the connection is given back to its owner when the rest has been sent, and a stopping gateway counts it as busy until then, up to the end of the stop time.

--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -65,7 +65,8 @@
 
 auto CallerSession::isBusy() const -> bool
 {
-    return m_flow != nullptr || m_connection->isReceivingRequest();
+    return m_flow != nullptr || m_connection->isReceivingRequest()
+        || m_connection->isSendingLastAnswer();
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/callersession.h
+++ b/src/libs/gateway/callersession.h
@@ -24,7 +24,7 @@
     auto closeAfterAnswer() -> void;
     /// Ends the open request, if any, with a refusal.
     auto abort() -> void;
-    /// True if a request is open or being received.
+    /// True if a request is open or being received, or its answer is still being sent.
     auto isBusy() const -> bool;
 
 private:
--- a/src/libs/http1/http1constants.h
+++ b/src/libs/http1/http1constants.h
@@ -17,7 +17,8 @@
 /// answer, and the total size of their bodies. A call whose peer sends more of them has failed.
 constexpr int MaxSkippedAnswers = 8;
 constexpr size_t MaxSkippedBytes = 1 << 20;
-/// Time that the peer has to receive the last answer before the connection is closed.
+/// Time without progress in sending the last answer after which the connection is closed, and time
+/// that the peer then has to receive its end.
 constexpr std::chrono::milliseconds LingerTimeout(1000);
 /// A connection ends if data or keep-alive probes stay unacknowledged for this time. It must be
 /// shorter than the time within which a machine must follow the platform again after a link fault.
--- a/src/libs/http1/serverconnection.cpp
+++ b/src/libs/http1/serverconnection.cpp
@@ -50,6 +50,7 @@
     bool closesAfterAnswer = false;
     bool chunked = false;
     bool processing = false;
+    bool isSending = false; ///< The rest of the last answer, after the end of the connection's use.
     Net::Reactor::TimerId timer = 0;
 
     auto start() -> void
@@ -158,8 +159,17 @@
         reactor->cancel(timer);
         if (!stream)
             return;
-        stream->closeGracefully();
-        stream.reset();
+        isSending = true;
+        const auto closing = std::move(stream);
+        closing->closeGracefully([weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->handleSent();
+        });
+    }
+
+    auto handleSent() -> void
+    {
+        isSending = false;
         const auto onClosed = std::move(events.onClosed);
         if (onClosed)
             onClosed();
@@ -247,6 +257,11 @@
     return d->stream && !d->answering && (d->reader->hasBegun() || !d->pending.empty());
 }
 
+auto ServerConnection::isSendingLastAnswer() const -> bool
+{
+    return d->isSending;
+}
+
 auto ServerConnection::closeAfterAnswer() -> void
 {
     d->closesAfterAnswer = true;
--- a/src/libs/http1/serverconnection.h
+++ b/src/libs/http1/serverconnection.h
@@ -58,6 +58,8 @@
     auto clientHasDisconnected() const -> bool;
     /// True if a part of a request has been received.
     auto isReceivingRequest() const -> bool;
+    /// True if the connection ends once the rest of the last answer has been sent.
+    auto isSendingLastAnswer() const -> bool;
     /// Closes the connection after the next answer, or immediately if it is idle.
     auto closeAfterAnswer() -> void;
     /// Closes the connection after the next answer, also if no request has been received yet.
--- a/src/libs/http1/tcpstream.cpp
+++ b/src/libs/http1/tcpstream.cpp
@@ -26,6 +26,7 @@
     bool lingering = false;
     bool shutDown = false;
     Net::Reactor::TimerId lingerTimer = 0;
+    std::function<void()> onSent; ///< While lingering.
 
     auto watch() -> void
     {
@@ -49,6 +50,22 @@
         reactor->unwatch(fd);
         ::close(fd);
         fd = -1;
+        notifySent();
+    }
+
+    auto notifySent() -> void
+    {
+        const auto callback = std::move(onSent);
+        onSent = nullptr;
+        if (callback)
+            callback();
+    }
+
+    auto startLingerTimer() -> void
+    {
+        reactor->cancel(lingerTimer);
+        lingerTimer = reactor->callAfter(Constants::LingerTimeout,
+                                         [self = shared_from_this()] { self->close(); });
     }
 
     auto end(StreamEnd how) -> void
@@ -94,10 +111,13 @@
             }
             sent = true;
             unsent.erase(0, static_cast<size_t>(count));
+            if (lingering)
+                startLingerTimer();
         }
         if (lingering && !shutDown) {
             shutDown = true;
             ::shutdown(fd, SHUT_WR);
+            notifySent();
         }
         return true;
     }
@@ -222,18 +242,20 @@
         d->watch();
 }
 
-auto TcpStream::closeGracefully() -> void
+auto TcpStream::closeGracefully(std::function<void()> onSent) -> void
 {
     d->events = {};
+    d->onSent = std::move(onSent);
     if (d->fd < 0)
-        return;
+        return d->notifySent();
     d->lingering = true;
-    if (d->unsent.empty()) {
-        d->shutDown = true;
-        ::shutdown(d->fd, SHUT_WR);
-    }
+    d->startLingerTimer();
+    if (!d->unsent.empty())
+        return d->watch();
+    d->shutDown = true;
+    ::shutdown(d->fd, SHUT_WR);
     d->watch();
-    d->lingerTimer = d->reactor->callAfter(Constants::LingerTimeout, [self = d] { self->close(); });
+    d->notifySent();
 }
 
 auto TcpStream::closeNow() -> void
--- a/src/libs/http1/tcpstream.h
+++ b/src/libs/http1/tcpstream.h
@@ -43,9 +43,9 @@
     auto setEvents(Events events) -> void;
     auto write(std::string_view data) -> void;
     /// Sends the remaining data, shuts down the sending side and discards received data for a
-    /// limited time, so that the peer gets the last answer instead of a reset. No more callbacks
-    /// are called.
-    auto closeGracefully() -> void;
+    /// limited time, so that the peer gets the last answer instead of a reset. Of the callbacks,
+    /// only `onSent` is called, once the data has been sent or the connection has ended.
+    auto closeGracefully(std::function<void()> onSent = nullptr) -> void;
 
     /// Closes immediately; no more callbacks are called.
     auto closeNow() -> void;
--- a/tests/auto/http1/tst_connections.cpp
+++ b/tests/auto/http1/tst_connections.cpp
@@ -8,6 +8,10 @@
 
 #include <gtest/gtest.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace Http1;
 using namespace std::chrono_literals;
 
@@ -70,9 +74,24 @@
                          [this](CallEnd how) { ended = how; }});
     }
 
-    auto runUntil(const std::function<bool()> &until) -> bool
+    /// Connects a plain socket with a small receive buffer.
+    static auto connectSlowClient(const SocketAddress &to) -> int
+    {
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int bufferBytes = 64 << 10;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof bufferBytes);
+        sockaddr_in peer = {};
+        peer.sin_family = AF_INET;
+        peer.sin_addr.s_addr = htonl(to.ip());
+        peer.sin_port = htons(to.port());
+        EXPECT_EQ(::connect(fd, reinterpret_cast<sockaddr *>(&peer), sizeof peer), 0);
+        return fd;
+    }
+
+    auto runUntil(const std::function<bool()> &until, std::chrono::milliseconds timeout = 3s)
+        -> bool
     {
-        const auto limit = loop->now() + 3s;
+        const auto limit = loop->now() + timeout;
         while (!until() && loop->now() < limit) {
             loop->restart();
             loop->callAfter(2ms, [this] { loop->stop(); });
@@ -229,6 +248,42 @@
     EXPECT_NE(*ended, CallEnd::Complete);
 }
 
+// Guards against answers that are cut at a planned stop (issue 35, LOST): the client reads slowly,
+// and the connection is to be closed after the answer.
+TEST_F(Connections, LastAnswerToASlowClientIsSentWhole)
+{
+    const std::string half(3500 << 10, 'z');
+    const auto address = listenServer([&](ServerConnection &server, const RequestHead &) {
+        server.closeAfterAnswer();
+        server.begin(200, {});
+        server.write(half);
+        server.write(half);
+        server.finish();
+    });
+    const int fd = connectSlowClient(address);
+    const std::string request = "GET /x HTTP/1.1\r\n\r\n";
+    ASSERT_EQ(::send(fd, request.data(), request.size(), 0), static_cast<ssize_t>(request.size()));
+    constexpr double bytesPerSecond = 2e6;
+    std::string answer;
+    std::vector<char> block(32 << 10);
+    const auto begunAt = loop->now();
+    const auto hasEnded = [&] {
+        const double passed = std::chrono::duration<double>(loop->now() - begunAt).count();
+        while (static_cast<double>(answer.size()) < passed * bytesPerSecond) {
+            const auto count = ::recv(fd, block.data(), block.size(), MSG_DONTWAIT);
+            if (count <= 0)
+                return count == 0 || errno != EAGAIN;
+            answer.append(block.data(), static_cast<size_t>(count));
+        }
+        return false;
+    };
+    EXPECT_TRUE(runUntil(hasEnded, 10s));
+    EXPECT_GT(answer.size(), 2 * half.size());
+    EXPECT_TRUE(answer.ends_with(lastChunk)) << answer.size() << " bytes";
+    EXPECT_TRUE(runUntil([this] { return closedCount == 1; }));
+    ::close(fd);
+}
+
 TEST_F(Connections, EarlyAnswerToAnUnfinishedRequestEndsTheConnection)
 {
     const auto address = listenRaw([this](TcpStream &peer, std::string_view) {
--- a/tests/auto/platform/tst_stopping.cpp
+++ b/tests/auto/platform/tst_stopping.cpp
@@ -203,3 +203,62 @@
     EXPECT_TRUE(runUntil([this] { return isDone; }, 300ms));
     EXPECT_EQ(engine.runs(), 0);
 }
+
+// Guards against an answer that is cut when the process ends (issue 35, LOST): the answer was
+// complete, no request was open, but the caller had not received all of it.
+TEST_F(Stopping, AnswerThatIsStillBeingSentIsAwaited)
+{
+    constexpr int events = 35;
+    constexpr auto eventInterval = 20ms;
+    constexpr double bytesPerSecond = 1.9e6;
+    RawEngine raw(*loop, [&](const RawEngine::Arrival &arrival) {
+        raw.write(arrival.connection,
+                  "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s1\r\n\r\n");
+        for (int id = 1; id <= events; ++id)
+            raw.writeLater(arrival.connection, id * eventInterval,
+                           "id: " + std::to_string(id) + "\ndata: " + std::string(200 << 10, 'x')
+                               + "\n\n");
+        loop->callAfter((events + 1) * eventInterval,
+                        [&raw, connection = arrival.connection] { raw.finish(connection); });
+    });
+    auto &engine = addEngine("i-1", "lm", {"m1"});
+    engine.advertisedAddress = raw.address();
+    engine.announce();
+    startReadyGateway();
+    startStopping();
+    runFor(2s);
+    // The caller has an event loop of its own, which reads no more than its rate allows.
+    const auto callerLoop = std::move(*Net::Reactor::create());
+    const auto caller = std::move(*Http1::TcpStream::connect(*callerLoop, address));
+    std::string received;
+    const auto begunAt = loop->now();
+    const auto mayRead = [&] {
+        return static_cast<double>(received.size())
+            < Utils::toSeconds(loop->now() - begunAt) * bytesPerSecond;
+    };
+    caller->setEvents({[&](std::string_view data) {
+                           received += data;
+                           if (!mayRead())
+                               callerLoop->stop();
+                       },
+                       [](Http1::StreamEnd) {}});
+    caller->write(requestFor("/batch/x", "Model: m1\r\nToken-Count: 10,10\r\n"));
+    const auto read = [&] {
+        if (!mayRead())
+            return;
+        callerLoop->restart();
+        callerLoop->callAfter(1ms, [&] { callerLoop->stop(); });
+        callerLoop->run();
+    };
+    ASSERT_TRUE(runUntil(
+        [&] {
+            read();
+            return isDone;
+        },
+        8s));
+    // From now on, only what the system has taken over from the process arrives.
+    const auto isWhole = [&] { return received.ends_with(Http1::lastChunk); };
+    for (const auto limit = loop->now() + 2s; !isWhole() && loop->now() < limit;)
+        read();
+    EXPECT_TRUE(isWhole()) << received.size() << " bytes";
+}
