Requests that meet the close of an idle connection are not dropped

What callers saw: a request on a kept connection that crossed the gateway's close, at a planned stop or after the idle time, was read and thrown away while the connection lingered. The caller saw a close after its request had been read, so it could not repeat one that may run once only.

Cause: an idle connection was closed like one with a last answer, by reading on for a second so that the answer is not lost to a reset. An idle connection has no answer under way: a client that sends its next request has received the last one.

Why this works: a connection on which a request has arrived, read or not, isn't idle and answers it; any other is closed without reading on, so that later bytes reset it. If a part of the last answer is still to be sent, the connection lingers as before. A client that sends requests before it has the answer to the last one may lose that answer to such a reset; nothing here does that.

--- a/src/libs/http1/serverconnection.cpp
+++ b/src/libs/http1/serverconnection.cpp
@@ -64,7 +64,7 @@
     {
         makeReader();
         body.clear();
-        setTimer(events.limits().idleTimeout, [this] { close(); });
+        setTimer(events.limits().idleTimeout, [this] { closeIdle(); });
     }
 
     auto makeReader() -> void
@@ -153,6 +153,17 @@
             process();
     }
 
+    /// Closes the connection unless a request has arrived. A request that crosses this is not read:
+    /// the client is to see that, as it may then repeat it.
+    auto closeIdle() -> void
+    {
+        if (stream->hasUnreadBytes())
+            return;
+        if (stream->unsentBytes() == 0)
+            stream->closeNow();
+        close();
+    }
+
     auto close() -> void
     {
         const auto keep = shared_from_this();
@@ -266,7 +277,7 @@
 {
     d->closesAfterAnswer = true;
     if (d->stream && !d->answering && !isReceivingRequest())
-        d->close();
+        d->closeIdle();
 }
 
 auto ServerConnection::closeAfterNextAnswer() -> void
--- a/src/libs/http1/tcpstream.cpp
+++ b/src/libs/http1/tcpstream.cpp
@@ -281,6 +281,12 @@
     return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+auto TcpStream::hasUnreadBytes() const -> bool
+{
+    char byte = 0;
+    return d->fd >= 0 && ::recv(d->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 auto TcpStream::isConnected() const -> bool
 {
     return d->connected && d->fd >= 0;
--- a/src/libs/http1/tcpstream.h
+++ b/src/libs/http1/tcpstream.h
@@ -54,6 +54,8 @@
 
     /// Checks for an end or reset by the peer without consuming any data.
     auto peerHasClosed() const -> bool;
+    /// True if data has arrived that has not been passed on yet.
+    auto hasUnreadBytes() const -> bool;
     auto isConnected() const -> bool;
     /// True once any byte was passed to the kernel for sending.
     auto hasSent() const -> bool;
--- a/tests/auto/http1/tst_connections.cpp
+++ b/tests/auto/http1/tst_connections.cpp
@@ -284,6 +284,46 @@
     ::close(fd);
 }
 
+// Guards against a request that is read and dropped at a planned stop (issue 35, LOST): it has
+// arrived, but the server has not read it when it closes its idle connections.
+TEST_F(Connections, RequestThatArrivesBeforeTheCloseOfAnIdleConnectionIsAnswered)
+{
+    const auto address = listenServer(
+        [](ServerConnection &server, const RequestHead &) { server.respond(200, {}, "ok"); });
+    const auto client = std::move(*TcpStream::connect(*loop, address));
+    std::string answer;
+    client->setEvents({[&](std::string_view data) { answer += data; }, [](StreamEnd) {}});
+    ASSERT_TRUE(
+        runUntil([&] { return client->isConnected() && servers.size() == 1 && servers[0]; }));
+    client->write("POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    servers[0]->closeAfterAnswer();
+    EXPECT_TRUE(runUntil([&] { return answer.ends_with("ok"); }));
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(runUntil([this] { return closedCount == 1; }));
+}
+
+// Guards against the same (issue 35, LOST): a request that crosses the close of an idle connection
+// may be repeated only if it was not read.
+TEST_F(Connections, RequestThatCrossesTheCloseOfAnIdleConnectionIsNotRead)
+{
+    const auto address = listenServer([](ServerConnection &, const RequestHead &) {});
+    const int fd = connectSlowClient(address);
+    ASSERT_TRUE(runUntil([this] { return servers.size() == 1 && servers[0]; }));
+    servers[0]->closeAfterAnswer();
+    const std::string request = "POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    ASSERT_EQ(::send(fd, request.data(), request.size(), 0), static_cast<ssize_t>(request.size()));
+    // A reset tells the client that the request was not read. Reading the error clears it.
+    int error = 0;
+    EXPECT_TRUE(runUntil([&] {
+        socklen_t length = sizeof error;
+        if (error == 0)
+            getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length);
+        return error == EPIPE || error == ECONNRESET;
+    }));
+    EXPECT_TRUE(bodies.empty());
+    ::close(fd);
+}
+
 TEST_F(Connections, EarlyAnswerToAnUnfinishedRequestEndsTheConnection)
 {
     const auto address = listenRaw([this](TcpStream &peer, std::string_view) {
