--- a/tests/auto/platform/tst_cutheads.cpp
+++ b/tests/auto/platform/tst_cutheads.cpp
@@ -140,6 +140,7 @@
         }
         cuts = batch;
         std::vector<std::string> ids;
+        ids.reserve(batch.size());
         for (const auto &[id, cut] : batch)
             ids.push_back(id);
         const auto answers = sendAll(ids);
