--- a/src/libs/http1/serverconnection.cpp
+++ b/src/libs/http1/serverconnection.cpp
@@ -50,6 +50,7 @@
     bool closesAfterAnswer = false;
     bool chunked = false;
     bool processing = false;
+    bool isSending = false; ///< The rest of the last answer, after the end of the connection's use.
     Net::Reactor::TimerId timer = 0;
 
     auto start() -> void
@@ -63,7 +64,7 @@
     {
         makeReader();
         body.clear();
-        setTimer(events.limits().idleTimeout, [this] { close(); });
+        setTimer(events.limits().idleTimeout, [this] { closeIdle(); });
     }
 
     auto makeReader() -> void
@@ -152,14 +153,34 @@
             process();
     }
 
+    /// Closes the connection unless a request has arrived. A request that crosses this is not read:
+    /// the client is to see that, as it may then repeat it.
+    auto closeIdle() -> void
+    {
+        if (stream->hasUnreadBytes())
+            return;
+        if (stream->unsentBytes() == 0)
+            stream->closeNow();
+        close();
+    }
+
     auto close() -> void
     {
         const auto keep = shared_from_this();
         reactor->cancel(timer);
         if (!stream)
             return;
-        stream->closeGracefully();
-        stream.reset();
+        isSending = true;
+        const auto closing = std::move(stream);
+        closing->closeGracefully([weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->handleSent();
+        });
+    }
+
+    auto handleSent() -> void
+    {
+        isSending = false;
         const auto onClosed = std::move(events.onClosed);
         if (onClosed)
             onClosed();
@@ -242,11 +263,21 @@
     return !d->stream || d->stream->peerHasClosed();
 }
 
+auto ServerConnection::isReceivingRequest() const -> bool
+{
+    return d->stream && !d->answering && (d->reader->hasBegun() || !d->pending.empty());
+}
+
+auto ServerConnection::isSendingLastAnswer() const -> bool
+{
+    return d->isSending;
+}
+
 auto ServerConnection::closeAfterAnswer() -> void
 {
     d->closesAfterAnswer = true;
-    if (d->stream && !d->answering && !d->reader->hasBegun() && d->pending.empty())
-        d->close();
+    if (d->stream && !d->answering && !isReceivingRequest())
+        d->closeIdle();
 }
 
 auto ServerConnection::closeAfterNextAnswer() -> void
--- a/src/libs/http1/tcpstream.h
+++ b/src/libs/http1/tcpstream.h
@@ -44,9 +44,9 @@
     auto setEvents(Events events) -> void;
     auto write(std::string_view data) -> void;
     /// Sends the remaining data, shuts down the sending side and discards received data for a
-    /// limited time, so that the peer gets the last answer instead of a reset. No more callbacks
-    /// are called.
-    auto closeGracefully() -> void;
+    /// limited time, so that the peer gets the last answer instead of a reset. Of the callbacks,
+    /// only `onSent` is called, once the data has been sent or the connection has ended.
+    auto closeGracefully(std::function<void()> onSent = nullptr) -> void;
 
     /// Closes immediately; no more callbacks are called.
     auto closeNow() -> void;
@@ -61,6 +61,8 @@
 
     /// Checks for an end or reset by the peer without consuming any data.
     auto peerHasClosed() const -> bool;
+    /// True if data has arrived that has not been passed on yet.
+    auto hasUnreadBytes() const -> bool;
     auto isConnected() const -> bool;
     /// True once any byte was passed to the kernel for sending.
     auto hasSent() const -> bool;
