--- a/src/libs/gateway/backendserver.h
+++ b/src/libs/gateway/backendserver.h
@@ -20,6 +20,8 @@
     Http1::SocketAddress address;
     std::string failureDomain;
     std::int64_t startedAtMs = 0; ///< Unix time; distinguishes incarnations with the same id.
+    /// Version of the server's software; empty if the entry names none, which equals no version.
+    std::string softwareVersion;
     int slots = 0;
     bool isLeaving = false;
     bool hasUnreadableEntry = false; ///< The entry was overwritten; the fields are the former ones.
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -30,6 +30,7 @@
 class PermitExchange;
 class QuotaLedger;
 class RequestQueue;
+class StreamOrigins;
 class SuspectExchange;
 class WireFormat;
 
@@ -68,6 +69,7 @@
     RateLimitTable rateLimits = {}; ///< Named by backend servers.
     PermitExchange *permits = nullptr; ///< Set before the first request arrives.
     SuspectExchange *suspects = nullptr; ///< Set before the first request arrives.
+    StreamOrigins *streamOrigins = nullptr; ///< Set before the first request arrives.
 
     auto retryBudget(const std::string &service) -> Routing::RetryBudget &
     {
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -38,6 +38,9 @@
     int maxAnswerTokens = 0;
     std::vector<PromptPart> promptParts;
     std::optional<std::int64_t> resumeAfter; ///< Last event that the caller has received.
+    /// Attempt that brought the first event of the stream that this request takes up; empty if the
+    /// caller names none.
+    std::string resumedAttempt;
     Http1::Fields forwarded; ///< Forwarded to the backend server unchanged.
     std::string body;
 
