--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -165,8 +165,7 @@
 {
     std::optional<TimePoint> first;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.server.service != requirements.service || !entry.server.isUsable()
-            || requirements.excluded.count(id) > 0 || !holds(entry, requirements))
+        if (!isSuitable(entry, requirements) || !holds(entry, requirements))
             continue;
         if (entry.pausedUntil <= now)
             return {};
@@ -185,6 +184,16 @@
         && (requirements.adapter.empty() || held->second.count(requirements.adapter) > 0);
 }
 
+auto BackendRegistry::isSuitable(const Entry &entry, const BackendRequirements &requirements) const
+    -> bool
+{
+    const BackendServer &server = entry.server;
+    const std::optional<std::string> &version = requirements.softwareVersion;
+    return server.service == requirements.service && server.isUsable()
+        && requirements.excluded.count(server.id) == 0
+        && (!version || (!version->empty() && server.softwareVersion == *version));
+}
+
 auto BackendRegistry::loadOf(const Entry &entry, TimePoint now) const -> double
 {
     const bool isRecent = now - entry.reportedAt < Constants::ReportedLoadLifetime;
@@ -202,13 +211,11 @@
     return m_allowance && m_allowance->needsPermit(entry.server);
 }
 
-auto BackendRegistry::isCandidate(const std::string &id, const Entry &entry,
-                                  const BackendRequirements &requirements, TimePoint now) const
-    -> bool
+auto BackendRegistry::isCandidate(const Entry &entry, const BackendRequirements &requirements,
+                                  TimePoint now) const -> bool
 {
-    return entry.server.service == requirements.service && entry.server.isUsable()
-        && requirements.excluded.count(id) == 0 && entry.ejectedUntil <= now
-        && entry.avoidedUntil <= now && entry.pausedUntil <= now && holds(entry, requirements)
+    return isSuitable(entry, requirements) && entry.ejectedUntil <= now && entry.avoidedUntil <= now
+        && entry.pausedUntil <= now && holds(entry, requirements)
         && loadOf(entry, now) < capacityOf(entry);
 }
 
@@ -230,7 +237,7 @@
     std::pair<bool, double> bestScore; // Servers without a limit come first.
     std::uint64_t bestRank = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (!isCandidate(id, entry, requirements, now))
+        if (!isCandidate(entry, requirements, now))
             continue;
         const bool isLimited = needsPermit(entry);
         if (isLimited && !m_allowance->hasPermit(entry.server))
@@ -255,7 +262,7 @@
     const Entry *best = nullptr;
     double bestScore = 0;
     for (const auto &[id, entry] : m_entries) {
-        if (!needsPermit(entry) || !isCandidate(id, entry, requirements, now))
+        if (!needsPermit(entry) || !isCandidate(entry, requirements, now))
             continue;
         if (id == current)
             return id;
@@ -273,13 +280,28 @@
 auto BackendRegistry::hasServerWithoutLimit(const BackendRequirements &requirements) const -> bool
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
-        const Entry &entry = item.second;
         // Engines may load the model while the request waits.
-        return entry.server.service == requirements.service && entry.server.isUsable()
-            && requirements.excluded.count(item.first) == 0 && !needsPermit(entry);
+        return isSuitable(item.second, requirements) && !needsPermit(item.second);
     });
 }
 
+auto BackendRegistry::hasPossibleServer(const BackendRequirements &requirements) const -> bool
+{
+    bool hasSuitable = false;
+    bool isHeldElsewhere = false;
+    for (const auto &[id, entry] : m_entries) {
+        const bool isOfService =
+            entry.server.service == requirements.service && entry.server.isUsable();
+        const bool isHolder = isOfService && holds(entry, requirements);
+        const bool suits = isSuitable(entry, requirements);
+        if (suits && isHolder)
+            return true;
+        hasSuitable = hasSuitable || suits;
+        isHeldElsewhere = isHeldElsewhere || isHolder;
+    }
+    return hasSuitable && !isHeldElsewhere;
+}
+
 auto BackendRegistry::isHeld(const BackendRequirements &requirements) const -> bool
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto &item) {
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -26,6 +26,8 @@
     std::string adapter;
     std::string affinity; ///< Among equal servers, the same text selects the same one.
     std::set<std::string> excluded; ///< Servers that this request was already sent to.
+    /// Version that a stream goes on at; no server has the empty one.
+    std::optional<std::string> softwareVersion = {};
 };
 
 /// The outcome of an attempt, as it concerns the backend server.
@@ -82,6 +84,9 @@
                             Utils::TimePoint now) const -> std::optional<std::string>;
     /// True if a server may serve the request without a permit, now or after a load or a pause.
     auto hasServerWithoutLimit(const BackendRequirements &requirements) const -> bool;
+    /// True if a server may serve the request, now or later: it holds the model, or may load it as
+    /// no other server holds it.
+    auto hasPossibleServer(const BackendRequirements &requirements) const -> bool;
     /// True if any usable server holds the model, with or without free capacity.
     auto isHeld(const BackendRequirements &requirements) const -> bool;
     /// True if the service has any usable server.
@@ -115,9 +120,11 @@
     /// The list's entry, merged with what the server itself announced.
     auto withAnnouncedState(const BackendServer &server) const -> BackendServer;
     auto holds(const Entry &entry, const BackendRequirements &requirements) const -> bool;
+    /// True if the server may serve the request, apart from its models, load and failures.
+    auto isSuitable(const Entry &entry, const BackendRequirements &requirements) const -> bool;
     /// True if the server may get the request now, apart from a permit.
-    auto isCandidate(const std::string &id, const Entry &entry,
-                     const BackendRequirements &requirements, Utils::TimePoint now) const -> bool;
+    auto isCandidate(const Entry &entry, const BackendRequirements &requirements,
+                     Utils::TimePoint now) const -> bool;
     auto needsPermit(const Entry &entry) const -> bool;
     /// The lowest score is the best one.
     auto scoreOf(const Entry &entry, Utils::TimePoint now) const -> double;
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -548,6 +548,11 @@
     return std::unique_ptr<GatewayServer>(new GatewayServer(std::move(data)));
 }
 
+auto GatewayServer::setStreamOrigins(StreamOrigins &origins) -> void
+{
+    d->context.streamOrigins = &origins;
+}
+
 auto GatewayServer::reload(const GatewaySettings &settings) -> void
 {
     d->settings.stopTime = settings.stopTime;
--- a/src/libs/gateway/gatewayserver.h
+++ b/src/libs/gateway/gatewayserver.h
@@ -14,6 +14,7 @@
 
 struct GatewaySettings;
 class RowStore;
+class StreamOrigins;
 class WireFormat;
 
 /// A gateway: accepts callers' requests and forwards them to backend servers. It follows the
@@ -26,6 +27,8 @@
         -> Utils::Result<std::unique_ptr<GatewayServer>, std::string>;
     ~GatewayServer();
 
+    /// Replaces the source of the versions that began streams. Must outlive the gateway.
+    auto setStreamOrigins(StreamOrigins &origins) -> void;
     /// Applies the settings that may change at run time: stop time and retry budget. Addresses and
     /// names need a restart.
     auto reload(const GatewaySettings &settings) -> void;
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -106,6 +106,7 @@
     if (!m_answerBegun) {
         m_answerBegun = true;
         m_firstEventAt = m_context.reactor.now();
+        beginStream();
         m_context.metrics.observe("acacia_first_byte_seconds",
                                   Utils::toSeconds(m_firstEventAt - m_arrivedAt));
         m_caller->begin(m_answer.status, m_answer.forwarded);
@@ -126,6 +127,17 @@
     return isValid;
 }
 
+/// Binds a stream that may go on at another server to the version of this one.
+auto RequestFlow::beginStream() -> void
+{
+    if (!m_route->mayRepeat() || m_streamVersion)
+        return;
+    const BackendServer *server = m_context.board.find(m_attempt->backendId());
+    // The answer may be from either of two incarnations.
+    const bool isReplaced = server && server->startedAtMs != m_serverStartedAtMs;
+    m_streamVersion = isReplaced ? std::string() : m_serverVersion;
+}
+
 auto RequestFlow::hasOutlivedBeginning() const -> bool
 {
     return m_attemptBegunAt
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -257,7 +257,7 @@
 
 auto RequestFlow::waitForServer() -> void
 {
-    if (m_isDone || m_isWaiting || refuseIfAllPaused())
+    if (m_isDone || m_isWaiting || refuseIfAllPaused() || refuseIfVersionIsGone())
         return;
     m_isWaiting = true;
     const RequestRank rank = {m_customer ? m_customer->priority : 0, m_route->priority,
@@ -271,10 +271,11 @@
 }
 
 /// Refuses the request if all servers have asked for a pause that outlasts its waiting time.
-/// Requests for a model keep waiting, as another engine may load the model.
+/// Requests for a model keep waiting, as another engine may load the model, unless they need one
+/// of a certain version.
 auto RequestFlow::refuseIfAllPaused() -> bool
 {
-    if (m_needsModel)
+    if (m_needsModel && !m_streamVersion)
         return false;
     const auto pauseEnd = m_context.board.pauseEnd(requirements(), m_context.reactor.now());
     if (!pauseEnd || *pauseEnd < m_waitEnd)
@@ -283,6 +284,15 @@
     return true;
 }
 
+/// Refuses a request that goes on with a stream if no server of its version can serve it any more.
+auto RequestFlow::refuseIfVersionIsGone() -> bool
+{
+    if (!m_streamVersion || m_context.board.hasPossibleServer(requirements()))
+        return false;
+    refuse(m_possibleRuns > 0 ? RefusalReason::BackendFailed : RefusalReason::NoBackendServer);
+    return true;
+}
+
 auto RequestFlow::stopWaiting() -> void
 {
     if (!m_isWaiting)
@@ -363,7 +373,7 @@
         return;
     if (trySend())
         stopWaiting();
-    else
+    else if (!refuseIfVersionIsGone())
         requestPermit();
 }
 
@@ -410,6 +420,7 @@
     if (m_route->hasPromptParts && !m_request.promptParts.empty())
         requirements.affinity = m_request.modelName() + m_request.promptParts.front().id;
     requirements.excluded = m_triedServers;
+    requirements.softwareVersion = m_streamVersion;
     return requirements;
 }
 
@@ -431,6 +442,7 @@
                                        + m_route->priority + (toleratesDelay ? 1 : 0));
     }
     m_serverStartedAtMs = server.startedAtMs;
+    m_serverVersion = server.softwareVersion;
     m_attemptBegunAt.reset();
     m_hasNotedSurvival = false;
     m_hasHead = false;
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -61,6 +61,7 @@
     auto startTimers() -> void;
     auto waitForServer() -> void;
     auto refuseIfAllPaused() -> bool;
+    auto refuseIfVersionIsGone() -> bool;
     auto stopWaiting() -> void;
     auto requestPermit() -> void;
     auto cancelPermit() -> void;
@@ -86,6 +87,7 @@
     auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> bool;
+    auto beginStream() -> void;
     auto mayRelay(const StreamEvent &event) const -> bool;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
@@ -140,6 +142,9 @@
 
     std::unique_ptr<BackendAttempt> m_attempt;
     std::int64_t m_serverStartedAtMs = 0; ///< Of the current attempt's server.
+    std::string m_serverVersion; ///< Of the current attempt's server when the request was sent.
+    /// Version that the stream goes on at, once one has begun it; empty if that is unknown.
+    std::optional<std::string> m_streamVersion;
     std::optional<Utils::TimePoint> m_attemptBegunAt; ///< First event of the current attempt.
     bool m_hasNotedSurvival = false;
     std::vector<std::unique_ptr<BackendAttempt>> m_endedAttempts;
--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -208,3 +208,52 @@
     EXPECT_EQ(registry.choose(requirements(), start), "e1");
     EXPECT_EQ(registry.inFlight("e1"), 1);
 }
+
+// Guards against streams that go on at another software version (issue 35, ORDER): no question of
+// the registry may leave the version out, and an unnamed one equals none.
+TEST(BackendRegistry, RequiredVersionHoldsForEveryQuestion)
+{
+    BackendRegistry registry("a");
+    auto old = makeServer("s1");
+    old.softwareVersion = "v1";
+    auto unnamed = makeServer("s2");
+    unnamed.softwareVersion = "";
+    for (const auto &server : {old, unnamed})
+        registry.update(server, start);
+    BackendRequirements required = requirements();
+    for (const std::string version : {"v1", "v2", ""}) {
+        const bool isServed = version == "v1";
+        required.softwareVersion = version;
+        EXPECT_EQ(registry.choose(required, start).has_value(), isServed) << version;
+        EXPECT_EQ(registry.hasServerWithoutLimit(required), isServed) << version;
+        EXPECT_EQ(registry.hasPossibleServer(required), isServed) << version;
+    }
+    registry.notePause("s2", start + 2s);
+    required.softwareVersion = "v1";
+    EXPECT_FALSE(registry.pauseEnd(required, start));
+    registry.notePause("s1", start + 3s);
+    EXPECT_EQ(registry.pauseEnd(required, start), start + 3s);
+}
+
+// A model that another server holds isn't loaded for the sake of a version.
+TEST(BackendRegistry, ServerIsPossibleIfItHoldsTheModelOrNoServerDoes)
+{
+    BackendRegistry registry("a");
+    auto old = makeServer("s1");
+    old.softwareVersion = "v1";
+    auto newer = makeServer("s2");
+    newer.softwareVersion = "v2";
+    registry.update(old, start);
+    registry.update(newer, start);
+    BackendRequirements required = {"filing", "m", {}, {}, {}};
+    required.softwareVersion = "v1";
+    EXPECT_TRUE(registry.hasPossibleServer(required));
+    newer.models["m"] = {};
+    registry.update(newer, start);
+    EXPECT_FALSE(registry.hasPossibleServer(required));
+    old.models["m"] = {};
+    registry.update(old, start);
+    EXPECT_TRUE(registry.hasPossibleServer(required));
+    required.excluded = {"s1"};
+    EXPECT_FALSE(registry.hasPossibleServer(required));
+}
