--- a/src/libs/admission/refusal.cpp
+++ b/src/libs/admission/refusal.cpp
@@ -43,6 +43,8 @@
          "The backend server failed during the request."},
         {RefusalReason::CrashSuspect, "crash_suspect", 422,
          "The request crashed backend servers before."},
+        {RefusalReason::UnknownStream, "unknown_stream", 503,
+         "The version that began the stream can't be proved."},
         {RefusalReason::SubmissionInProgress, "submission_in_progress", 409,
          "The same submission is running."},
         {RefusalReason::SubmissionUnknown, "submission_unknown", 409,
--- a/src/libs/admission/refusal.h
+++ b/src/libs/admission/refusal.h
@@ -33,6 +33,7 @@
     LoadFailed,
     BackendFailed,
     CrashSuspect,
+    UnknownStream,
     SubmissionInProgress,
     SubmissionUnknown,
     StoreUnavailable,
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -90,6 +90,10 @@
 constexpr double FirstEventTimeoutObjectives = 2.5;
 /// Time from the first event of a stream during which a crash of its server may be due to it.
 constexpr std::chrono::milliseconds AnswerBeginningTime(200);
+/// Longest time for which a request waits until it is known which version began its stream.
+constexpr std::chrono::milliseconds MaxOriginWait(1000);
+/// Longest name of an attempt whose stream can be taken up; names are kept for a while.
+constexpr size_t MaxResumableAttemptBytes = 200;
 /// Delay after the loss of a connection before another one shows whether the server still listens,
 /// and the time allowed for that.
 constexpr std::chrono::milliseconds CrashProbeDelay(50);
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -7,6 +7,7 @@
 #include "permitexchange.h"
 #include "quotaledger.h"
 #include "requestqueue.h"
+#include "streamorigins.h"
 #include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
@@ -78,10 +79,53 @@
     if (m_needsModel)
         m_context.demand.noteArrived(m_modelKey, m_arrivedAt);
     startTimers();
+    if (takesUpStream())
+        return findOrigin();
     if (!trySend())
         waitForServer();
 }
 
+auto RequestFlow::takesUpStream() const -> bool
+{
+    return m_route->kind == RouteKind::Stream && m_request.takesUpStream;
+}
+
+/// Looks up the version that began the stream that the request takes up.
+auto RequestFlow::findOrigin() -> void
+{
+    if (!m_context.streamOrigins)
+        return refuse(RefusalReason::UnknownStream);
+    const Duration patience = std::clamp<Duration>(m_waitEnd - m_context.reactor.now(),
+                                                   Duration::zero(), Constants::MaxOriginWait);
+    m_originTicket = m_context.streamOrigins->find(
+        m_request.resumedAttempt, m_service, patience,
+        [weak = weak_from_this()](const std::optional<std::string> &version) {
+            if (const auto flow = weak.lock())
+                flow->handleOrigin(version);
+        });
+}
+
+auto RequestFlow::handleOrigin(const std::optional<std::string> &version) -> void
+{
+    m_originTicket.reset();
+    if (m_isDone)
+        return;
+    if (!version || version->empty())
+        return refuse(RefusalReason::UnknownStream);
+    m_streamVersion = version;
+    if (m_context.isStopping)
+        return abort();
+    if (!trySend())
+        waitForServer();
+}
+
+auto RequestFlow::cancelOrigin() -> void
+{
+    if (m_originTicket)
+        m_context.streamOrigins->cancel(*m_originTicket);
+    m_originTicket.reset();
+}
+
 /// Runs the checks that need no quota or server. Returns false if the request was refused or waits
 /// for a confirmation of the configuration.
 auto RequestFlow::validate() -> bool
@@ -111,6 +155,12 @@
         refuse(RefusalReason::NoBackendServer);
         return false;
     }
+    const std::string &resumed = m_request.resumedAttempt;
+    if (takesUpStream()
+        && (resumed.empty() || resumed.size() > Constants::MaxResumableAttemptBytes)) {
+        refuse(RefusalReason::UnknownStream);
+        return false;
+    }
     std::vector<std::string> parts;
     for (const PromptPart &part : m_request.promptParts)
         parts.push_back(part.id);
@@ -211,15 +261,16 @@
                                                });
 }
 
-/// Chooses the service by a hash of the attempt's identity, so that retries use the same service.
+/// Chooses the service by a hash of the attempt's identity, so that retries use the same service,
+/// and streams are taken up at the service that began them.
 auto RequestFlow::selectService() -> void
 {
     double total = 0;
     for (const ServiceShare &share : m_route->shares)
         total += share.weight;
     constexpr std::uint64_t steps = 1 << 20;
-    double point =
-        static_cast<double>(Utils::stableHash(m_request.attemptId) % steps) / steps * total;
+    const std::string &identity = takesUpStream() ? m_request.resumedAttempt : m_request.attemptId;
+    double point = static_cast<double>(Utils::stableHash(identity) % steps) / steps * total;
     m_service = m_route->shares.back().service;
     for (const ServiceShare &share : m_route->shares) {
         if (point < share.weight) {
@@ -518,9 +569,10 @@
     if (m_isDone)
         return;
     const bool mayHaveRun = m_possibleRuns > 0 || (m_attempt && m_attempt->mayHaveArrived());
-    refuse(mayHaveRun         ? RefusalReason::DeadlinePassed
-               : m_needsModel ? RefusalReason::LoadFailed
-                              : RefusalReason::NoBackendServer);
+    refuse(mayHaveRun           ? RefusalReason::DeadlinePassed
+               : m_originTicket ? RefusalReason::UnknownStream
+               : m_needsModel   ? RefusalReason::LoadFailed
+                                : RefusalReason::NoBackendServer);
 }
 
 auto RequestFlow::handleWaitTimeout() -> void
@@ -564,6 +616,7 @@
     case RefusalReason::NotFresh:
     case RefusalReason::Draining:
     case RefusalReason::LoadFailed:
+    case RefusalReason::UnknownStream:
         return Constants::DefaultRetryAfter;
     default:
         return {};
@@ -605,6 +658,7 @@
     m_caller = nullptr;
     stopWaiting();
     cancelConfirmation();
+    cancelOrigin();
     m_context.reactor.cancel(m_deadlineTimer);
     m_context.reactor.cancel(m_waitTimer);
     m_context.reactor.cancel(m_quotaTimer);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -57,6 +57,10 @@
     auto waitForQuota(int checksLeft) -> void;
     auto tryChargeQuota() -> bool;
     auto admit() -> void;
+    auto takesUpStream() const -> bool;
+    auto findOrigin() -> void;
+    auto handleOrigin(const std::optional<std::string> &version) -> void;
+    auto cancelOrigin() -> void;
     auto selectService() -> void;
     auto startTimers() -> void;
     auto waitForServer() -> void;
@@ -129,6 +133,7 @@
     Net::Reactor::TimerId m_confirmationTimer = 0;
     std::optional<std::uint64_t> m_confirmationTicket; ///< Set while the request waits for a
                                                        ///< confirmation of the configuration.
+    std::optional<std::uint64_t> m_originTicket; ///< While the version of a stream is looked up.
     Net::Reactor::TimerId m_silenceTimer = 0;
     bool m_isWaiting = false;
     std::optional<std::uint64_t> m_permitTicket; ///< While a permit is requested.
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -38,8 +38,11 @@
     int maxAnswerTokens = 0;
     std::vector<PromptPart> promptParts;
     std::optional<std::int64_t> resumeAfter; ///< Last event that the caller has received.
+    /// The request takes up a stream; whether it tells which one in a readable way is another
+    /// question.
+    bool takesUpStream = false;
     /// Attempt that brought the first event of the stream that this request takes up; empty if the
-    /// caller names none.
+    /// caller names none, or the fields contradict each other.
     std::string resumedAttempt;
     Http1::Fields forwarded; ///< Forwarded to the backend server unchanged.
     std::string body;
--- a/tests/auto/platform/tst_streamversions.cpp
+++ b/tests/auto/platform/tst_streamversions.cpp
@@ -46,7 +46,8 @@
         ++finds;
         const Ticket ticket = ++m_lastTicket;
         const auto found = versions.find(attempt);
-        const auto version = found == versions.end() ? std::nullopt : std::optional(found->second);
+        const bool isFound = found != versions.end() && answerTime <= patience;
+        const auto version = isFound ? std::optional(found->second) : std::nullopt;
         const auto timer = m_reactor.callAfter(std::min<Utils::Duration>(answerTime, patience),
                                                [this, ticket, version, done = std::move(done)] {
                                                    m_pending.erase(ticket);
@@ -82,6 +83,11 @@
     std::map<Ticket, Net::Reactor::TimerId> m_pending;
 };
 
+auto PrintTo(const FakeStreamOrigins::Begun &one, std::ostream *out) -> void
+{
+    *out << one.attempt << " at " << one.service << ' ' << one.version;
+}
+
 class StreamVersions : public Gateways
 {
 protected:
@@ -106,6 +112,7 @@
         auto &engine = addEngine(id, "lm", models);
         engine.softwareVersion = version;
         engine.behaviour.namesVersion = true;
+        engine.behaviour.ignoresOrders = true; // Loads would change the entry.
         engine.announce();
         return engine;
     }
@@ -135,6 +142,21 @@
     std::unique_ptr<FakeStreamOrigins> origins;
 };
 
+/// What a request that takes up a stream names in a way that tells nothing.
+struct UnclearTakeUp
+{
+    std::string name;
+    std::string fields;
+};
+
+auto PrintTo(const UnclearTakeUp &one, std::ostream *out) -> void
+{
+    *out << one.name;
+}
+
+class UnclearTakeUps : public StreamVersions, public testing::WithParamInterface<UnclearTakeUp>
+{ };
+
 } // namespace
 
 // Guards against an answer joined from two software versions (issue 35, ORDER): streams break off,
@@ -200,3 +222,264 @@
     EXPECT_TRUE(answer->isWhole());
     EXPECT_EQ(events(answer->body), allEvents);
 }
+
+// Guards against streams that a caller takes up at another software version (issue 35, ORDER).
+TEST_F(StreamVersions, TakeUpGoesToTheVersionThatBeganTheStream)
+{
+    addVersion("i-1", "v1");
+    addVersion("i-2", "v2");
+    startVersionedGateway();
+    int number = 0;
+    for (const std::string version : {"v1", "v2"}) {
+        origins->versions["a0"] = version;
+        const auto answer =
+            sendRequest(makeRequest("/batch/x", "a" + std::to_string(++number), takeUp("a0", 2)));
+        EXPECT_TRUE(answer->isWhole());
+        EXPECT_EQ(events(answer->body), (std::vector<int>{3, 4, 5}));
+        EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{version});
+    }
+}
+
+// Guards against a taken-up stream that goes on at another software version when it breaks off
+// again (issue 35, ORDER).
+TEST_F(StreamVersions, TakeUpThatBreaksOffIsContinuedByTheSameVersion)
+{
+    for (int i = 1; i <= 6; ++i)
+        addVersion("i-" + std::to_string(i), i % 2 == 0 ? "v2" : "v1").behaviour.cutAfterEvents = 1;
+    startVersionedGateway();
+    int number = 0;
+    for (const std::string version : {"v1", "v2"}) {
+        origins->versions["a0"] = version;
+        const auto answer =
+            sendRequest(makeRequest("/batch/x", "a" + std::to_string(++number), takeUp("a0", 2)));
+        EXPECT_EQ(events(answer->body), (std::vector<int>{3, 4}));
+        EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{version});
+    }
+}
+
+// Guards against a stream of unknown origin that is joined (issue 35, ORDER): it is refused at
+// once, as not run, and costs no quota.
+TEST_F(StreamVersions, TakeUpOfAnUnknownStreamIsRefused)
+{
+    putConfiguration(2,
+                     {{"tenants",
+                       {{{"name", "county"},
+                         {"apiKeys", {"key1"}},
+                         {"unit", "token_stream"},
+                         {"plainTokens", 10},
+                         {"ratePerS", 1},
+                         {"burst", 40}}}}});
+    auto &engine = addVersion("i-1", "v1");
+    startVersionedGateway();
+    const auto sentAt = loop->now();
+    constexpr int count = 8;
+    for (int i = 1; i <= count; ++i) {
+        const auto answer =
+            sendRequest(makeRequest("/batch/x", "a" + std::to_string(i), takeUp("a0", 2)));
+        EXPECT_EQ(answer->status, 503);
+        EXPECT_TRUE(answer->fields.has("Retry-After"));
+    }
+    EXPECT_LT(loop->now() - sentAt, 700ms);
+    EXPECT_EQ(origins->finds, count);
+    EXPECT_EQ(engine.arrivals().size(), 0U);
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "b1", m1))->isWhole());
+}
+
+// Guards against unknown versions that are taken for equal (issue 35, ORDER): it is known that the
+// stream began at a server whose entry named no version.
+TEST_F(StreamVersions, TakeUpOfAStreamOfAnUnnamedVersionIsRefused)
+{
+    auto &engine = addVersion("i-1", "");
+    origins->versions["a0"] = "";
+    startVersionedGateway();
+    EXPECT_EQ(sendRequest(makeRequest("/batch/x", "a1", takeUp("a0", 2)))->status, 503);
+    EXPECT_EQ(engine.arrivals().size(), 0U);
+}
+
+// Guards against a join where the caller names no stream, or none that can be told (issue 35,
+// ORDER).
+TEST_P(UnclearTakeUps, AreRefused)
+{
+    auto &engine = addVersion("i-1", "v1");
+    origins->versions = {{"a0", "v1"}, {"a00", "v1"}, {"", "v1"}, {std::string(3000, 'x'), "v1"}};
+    startVersionedGateway();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", m1 + GetParam().fields));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->fields.has("Retry-After"));
+    EXPECT_EQ(engine.arrivals().size(), 0U);
+    EXPECT_EQ(origins->finds, 0);
+    EXPECT_EQ(sendRequest(makeRequest("/draft/x", "a2", m1))->status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    StreamVersions, UnclearTakeUps,
+    testing::Values(
+        UnclearTakeUp{"NoAttempt", "Last-Event-Id: 2\r\n"},
+        UnclearTakeUp{"EmptyAttempt", "Resumes:\r\nLast-Event-Id: 2\r\n"},
+        UnclearTakeUp{"EventThatIsNoNumber", "Resumes: a0\r\nLast-Event-Id: two\r\n"},
+        UnclearTakeUp{"EmptyEvent", "Resumes: a0\r\nLast-Event-Id:\r\n"},
+        UnclearTakeUp{"EventOutOfRange", "Resumes: a0\r\nLast-Event-Id: 99999999999999999999\r\n"},
+        UnclearTakeUp{"NegativeEvent", "Resumes: a0\r\nLast-Event-Id: -2\r\n"},
+        UnclearTakeUp{"TwoAttempts", "Resumes: a0\r\nResumes: a00\r\nLast-Event-Id: 2\r\n"},
+        UnclearTakeUp{"TwoEvents", "Resumes: a0\r\nLast-Event-Id: 2\r\nLast-Event-Id: 3\r\n"},
+        UnclearTakeUp{"LongAttempt",
+                      "Resumes: " + std::string(3000, 'x') + "\r\nLast-Event-Id: 2\r\n"}),
+    [](const auto &one) { return one.param.name; });
+
+// A caller may name the attempt alone; it gets the stream from its start, at the same version.
+TEST_F(StreamVersions, TakeUpWithoutALastEventStaysAtItsVersion)
+{
+    addVersion("i-1", "v1");
+    addVersion("i-2", "v2");
+    startVersionedGateway();
+    for (const std::string version : {"v1", "v2"}) {
+        origins->versions["a0"] = version;
+        const auto answer =
+            sendRequest(makeRequest("/batch/x", "a-" + version, m1 + "Resumes: a0\r\n"));
+        EXPECT_EQ(events(answer->body), allEvents);
+        EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{version});
+    }
+}
+
+// The fields mean nothing where answers are no streams.
+TEST_F(StreamVersions, PlainRequestsAreNotTakenForTakeUps)
+{
+    addEngine("i-1", "app");
+    startVersionedGateway();
+    EXPECT_EQ(sendRequest(makeRequest("/file/x", "a1", "Last-Event-Id: 2\r\n"))->status, 200);
+    EXPECT_EQ(sendRequest(makeRequest("/look/x", "a2", "Resumes: a0\r\n"))->status, 200);
+    EXPECT_EQ(origins->finds, 0);
+}
+
+// Guards against a version that is dropped from what a waiting request requires (issue 35, ORDER).
+TEST_F(StreamVersions, TakeUpWaitsForAServerOfItsVersion)
+{
+    auto &old = addVersion("i-1", "v1");
+    auto &newer = addVersion("i-2", "v2");
+    old.behaviour.processingTime = 300ms;
+    origins->versions["a0"] = "v1";
+    startVersionedGateway();
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    constexpr int moreThanSlots = 10;
+    for (int i = 1; i <= moreThanSlots; ++i) {
+        answers.push_back(std::make_shared<CallerAnswer>());
+        sendOnNewConnection(*answers.back(), address,
+                            makeRequest("/batch/x", "a" + std::to_string(i), takeUp("a0", 2)));
+    }
+    for (const auto &answer : answers) {
+        ASSERT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+        EXPECT_TRUE(answer->isWhole());
+        EXPECT_EQ(events(answer->body), (std::vector<int>{3, 4, 5}));
+        EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{"v1"});
+    }
+    EXPECT_EQ(newer.arrivals().size(), 0U);
+}
+
+// A take-up that no server can serve is refused at once, as not run.
+TEST_F(StreamVersions, TakeUpIsRefusedIfNoServerOfItsVersionIsLeft)
+{
+    auto &old = addVersion("i-1", "v1");
+    auto &newer = addVersion("i-2", "v2");
+    origins->versions = {{"a0", "v1"}, {"b0", "v3"}};
+    startVersionedGateway();
+    auto sentAt = loop->now();
+    EXPECT_EQ(sendRequest(makeRequest("/batch/x", "b1", takeUp("b0", 2)))->status, 503);
+    EXPECT_LT(loop->now() - sentAt, 300ms);
+    old.announce("draining");
+    wait(800ms);
+    sentAt = loop->now();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", takeUp("a0", 2)));
+    EXPECT_LT(loop->now() - sentAt, 300ms);
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->fields.has("Retry-After"));
+    EXPECT_EQ(old.arrivals().size() + newer.arrivals().size(), 0U);
+}
+
+// The version's last server leaves while the take-up waits for it.
+TEST_F(StreamVersions, WaitingTakeUpIsRefusedWhenTheLastServerOfItsVersionLeaves)
+{
+    putConfiguration(2,
+                     {{"routes",
+                       {{{"name", "r"},
+                         {"host", "h.example"},
+                         {"prefix", "/batch/"},
+                         {"routeType", "streaming"},
+                         {"timeoutMs", 8000},
+                         {"service", "lm"},
+                         {"resumable", true}}}}});
+    auto &old = addVersion("i-1", "v1");
+    auto &newer = addVersion("i-2", "v2");
+    old.behaviour.processingTime = 5s;
+    origins->versions["a0"] = "v1";
+    startVersionedGateway();
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    constexpr int moreThanSlots = 9;
+    for (int i = 1; i <= moreThanSlots; ++i) {
+        std::string request = makeRequest("/batch/x", "a" + std::to_string(i), takeUp("a0", 2));
+        const std::string deadline = "Deadline-Ms: 1400";
+        request.replace(request.find(deadline), deadline.size(), "Deadline-Ms: 8000");
+        answers.push_back(std::make_shared<CallerAnswer>());
+        sendOnNewConnection(*answers.back(), address, request);
+    }
+    ASSERT_TRUE(runUntil([&] { return old.arrivals().size() == moreThanSlots - 1; }));
+    old.withdraw();
+    const auto withdrawnAt = loop->now();
+    const auto &waiting = answers.back();
+    ASSERT_TRUE(runUntil([&] { return waiting->end.has_value(); }));
+    EXPECT_LT(loop->now() - withdrawnAt, 1500ms);
+    EXPECT_EQ(waiting->status, 503);
+    EXPECT_TRUE(waiting->fields.has("Retry-After"));
+    EXPECT_EQ(newer.arrivals().size(), 0U);
+}
+
+// The model is held at another version only, so it won't be loaded for the take-up.
+TEST_F(StreamVersions, TakeUpIsRefusedIfOnlyOtherVersionsHoldItsModel)
+{
+    addVersion("i-1", "v1", {"m2"});
+    addVersion("i-2", "v2", {"m1"});
+    origins->versions["a0"] = "v1";
+    startVersionedGateway();
+    const auto sentAt = loop->now();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", takeUp("a0", 2)));
+    EXPECT_LT(loop->now() - sentAt, 300ms);
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_EQ(engines[0]->runs() + engines[1]->runs(), 0);
+}
+
+// No server holds the model: it is loaded, as for any request.
+TEST_F(StreamVersions, TakeUpWaitsWhileItsModelIsLoaded)
+{
+    addVersion("i-1", "v1", {"m2"}).behaviour.ignoresOrders = false;
+    origins->versions["a0"] = "v1";
+    startVersionedGateway();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", takeUp("a0", 2)));
+    EXPECT_TRUE(answer->isWhole());
+    EXPECT_EQ(events(answer->body), (std::vector<int>{3, 4, 5}));
+}
+
+// The origin is not found in time, the caller leaves, or the gateway stops.
+TEST_F(StreamVersions, TakeUpWhoseOriginIsNotFoundEndsInTime)
+{
+    auto &engine = addVersion("i-1", "v1");
+    origins->versions["a0"] = "v1";
+    origins->answerTime = 60s;
+    startVersionedGateway();
+    const auto sentAt = loop->now();
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", takeUp("a0", 2)));
+    EXPECT_LT(loop->now() - sentAt, 1400ms);
+    EXPECT_EQ(answer->status, 503);
+
+    auto left = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*left, address, makeRequest("/batch/x", "a2", takeUp("a0", 2)));
+    ASSERT_TRUE(runUntil([&] { return origins->pendingCount() == 1; }));
+    left->connection->closeNow();
+    EXPECT_TRUE(runUntil([&] { return origins->pendingCount() == 0; }, 300ms));
+    EXPECT_EQ(origins->cancelled, 1);
+
+    auto cut = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*cut, address, makeRequest("/batch/x", "a3", takeUp("a0", 2)));
+    ASSERT_TRUE(runUntil([&] { return origins->pendingCount() == 1; }));
+    gateway.reset();
+    EXPECT_EQ(origins->pendingCount(), 0U);
+    EXPECT_EQ(engine.arrivals().size(), 0U);
+}
