--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -191,7 +191,8 @@
     const std::optional<std::string> &version = requirements.softwareVersion;
     return server.service == requirements.service && server.isUsable()
         && requirements.excluded.count(server.id) == 0
-        && (!version || (!version->empty() && server.softwareVersion == *version));
+        && (!version || (!version->empty() && server.softwareVersion == *version))
+        && (!requirements.mayUseVersion || requirements.mayUseVersion(server.softwareVersion));
 }
 
 auto BackendRegistry::loadOf(const Entry &entry, TimePoint now) const -> double
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -28,6 +28,8 @@
     std::set<std::string> excluded; ///< Servers that this request was already sent to.
     /// Version that a stream goes on at; no server has the empty one.
     std::optional<std::string> softwareVersion = {};
+    /// If set, only servers of the versions for which it returns true.
+    std::function<bool(const std::string &softwareVersion)> mayUseVersion = nullptr;
 };
 
 /// The outcome of an attempt, as it concerns the backend server.
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -8,6 +8,7 @@
 #include "quotaledger.h"
 #include "requestflow.h"
 #include "requestqueue.h"
+#include "streamorigins.h"
 #include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
@@ -127,8 +128,19 @@
     return isValid;
 }
 
-/// Binds a stream that may go on at another server to the version of this one.
+/// Called before the first event is sent to the caller.
 auto RequestFlow::beginStream() -> void
+{
+    bindToVersion();
+    const std::string &attempt = takesUpStream() ? m_request.resumedAttempt : m_request.attemptId;
+    if (!isResumableStream() || !m_context.streamOrigins || attempt.empty()
+        || attempt.size() > Constants::MaxResumableAttemptBytes)
+        return;
+    m_context.streamOrigins->noteBegun(attempt, m_service, *m_streamVersion);
+}
+
+/// Binds a stream that may go on at another server to the version of this one.
+auto RequestFlow::bindToVersion() -> void
 {
     if (!m_route->mayRepeat() || m_streamVersion)
         return;
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -90,6 +90,12 @@
     return m_route->kind == RouteKind::Stream && m_request.takesUpStream;
 }
 
+/// True if the caller may take up the stream with another request.
+auto RequestFlow::isResumableStream() const -> bool
+{
+    return m_route->kind == RouteKind::Stream && m_route->isResumable;
+}
+
 /// Looks up the version that began the stream that the request takes up.
 auto RequestFlow::findOrigin() -> void
 {
@@ -472,6 +478,11 @@
         requirements.affinity = m_request.modelName() + m_request.promptParts.front().id;
     requirements.excluded = m_triedServers;
     requirements.softwareVersion = m_streamVersion;
+    if (isResumableStream() && !m_streamVersion && m_context.streamOrigins) {
+        requirements.mayUseVersion = [this](const std::string &version) {
+            return m_context.streamOrigins->mayBegin(m_service, version);
+        };
+    }
     return requirements;
 }
 
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -58,6 +58,7 @@
     auto tryChargeQuota() -> bool;
     auto admit() -> void;
     auto takesUpStream() const -> bool;
+    auto isResumableStream() const -> bool;
     auto findOrigin() -> void;
     auto handleOrigin(const std::optional<std::string> &version) -> void;
     auto cancelOrigin() -> void;
@@ -92,6 +93,7 @@
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> bool;
     auto beginStream() -> void;
+    auto bindToVersion() -> void;
     auto mayRelay(const StreamEvent &event) const -> bool;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
--- a/tests/auto/platform/tst_streamversions.cpp
+++ b/tests/auto/platform/tst_streamversions.cpp
@@ -237,6 +237,8 @@
         EXPECT_TRUE(answer->isWhole());
         EXPECT_EQ(events(answer->body), (std::vector<int>{3, 4, 5}));
         EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{version});
+        ASSERT_FALSE(origins->begun.empty());
+        EXPECT_EQ(origins->begun.back(), (FakeStreamOrigins::Begun{"a0", "lm", version}));
     }
 }
 
@@ -351,6 +353,44 @@
     EXPECT_EQ(origins->finds, 0);
 }
 
+// Guards against a version that is told only after the caller has an event of it (issue 35, ORDER).
+TEST_F(StreamVersions, VersionIsNotedBeforeTheFirstEventReachesTheCaller)
+{
+    addVersion("i-1", "v1");
+    startVersionedGateway();
+    auto answer = std::make_shared<CallerAnswer>();
+    origins->onBegun = [&] {
+        EXPECT_EQ(answer->status, 0);
+        // Nothing that was written before is still on its way.
+        EXPECT_EQ(answer->body, "");
+    };
+    sendOnNewConnection(*answer, address, makeRequest("/batch/x", "a1", m1));
+    ASSERT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+    EXPECT_EQ(origins->begun, (std::vector<FakeStreamOrigins::Begun>{{"a1", "lm", "v1"}}));
+    // Streams that can't be taken up are not noted.
+    EXPECT_TRUE(sendRequest(makeRequest("/draft/x", "a2", m1))->isWhole());
+    EXPECT_EQ(origins->begun.size(), 1U);
+}
+
+// Guards against streams that begin at a version of which other gateways can't know (issue 35,
+// ORDER).
+TEST_F(StreamVersions, NoStreamBeginsAtAVersionThatIsNotConfirmed)
+{
+    auto &newer = addVersion("i-2", "v2");
+    origins->unconfirmedVersions = {"v2"};
+    startVersionedGateway();
+    auto answer = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*answer, address, makeRequest("/batch/x", "a1", m1));
+    wait(200ms);
+    EXPECT_EQ(newer.arrivals().size(), 0U);
+    EXPECT_TRUE(sendRequest(makeRequest("/draft/x", "a2", m1))->isWhole());
+    EXPECT_EQ(newer.arrivals().size(), 1U);
+    origins->unconfirmedVersions.clear();
+    ASSERT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+    EXPECT_TRUE(answer->isWhole());
+    EXPECT_EQ(newer.arrivals().size(), 2U);
+}
+
 // Guards against a version that is dropped from what a waiting request requires (issue 35, ORDER).
 TEST_F(StreamVersions, TakeUpWaitsForAServerOfItsVersion)
 {
