--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -21,6 +21,7 @@
     Utils::TimePoint sentAt; ///< When the request was written.
     Events events;
     BackendConnection connection;
+    bool isHeldBack = false; ///< By `events.maySend`.
     bool isRefused = false; ///< The server has answered that it has not run the request.
     Utils::Duration idleTimeout = Constants::RepeatableMaxIdle;
     Net::Reactor::TimerId connectTimer = 0;
@@ -36,6 +37,7 @@
         if (isUnnamed ? connection.http && connection.http->wasUsedBefore()
                       : !answer.attemptId.empty() && answer.attemptId != attemptId)
             return false;
+        context->board.noteAnswered(backendId, startedAtMs, connection.openedAt, sentAt);
         isRefused = answer.isNotRun;
         noteServerState(answer);
         if (answer.idleTimeout) {
@@ -87,6 +89,8 @@
         ended = true;
         const auto self = shared_from_this();
         context->reactor.cancel(connectTimer);
+        if (outcome != AttemptEnd::Complete && !isHeldBack && context->onConnectionLost)
+            context->onConnectionLost(backendId, startedAtMs);
         if (isRefused)
             connection.refusedAttempts.push_back(attemptId);
         if (connection.http && outcome == AttemptEnd::Complete)
@@ -169,7 +173,8 @@
         d->end(Private::translate(outcome));
     };
     callEvents.maySend = [d = data.get()] {
-        if (d->events.maySend && !d->events.maySend())
+        d->isHeldBack = d->events.maySend && !d->events.maySend();
+        if (d->isHeldBack)
             return false;
         d->sentAt = d->context->reactor.now();
         return true;
@@ -193,6 +198,11 @@
     return d->connection.http && d->connection.http->hasSent();
 }
 
+auto BackendAttempt::connectedAt() const -> Utils::TimePoint
+{
+    return d->connection.openedAt;
+}
+
 auto BackendAttempt::backendId() const -> const std::string &
 {
     return d->backendId;
--- a/src/libs/gateway/backendattempt.h
+++ b/src/libs/gateway/backendattempt.h
@@ -47,6 +47,8 @@
     /// True once any byte of the request may have reached the server.
     auto mayHaveArrived() const -> bool;
     auto backendId() const -> const std::string &;
+    /// When the connection was opened, which may have been for an earlier request.
+    auto connectedAt() const -> Utils::TimePoint;
 
 private:
     struct Private;
--- a/src/libs/gateway/backendconnection.h
+++ b/src/libs/gateway/backendconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <http1/clientconnection.h>
+#include <utils/timepoint.h>
 
 #include <memory>
 #include <string>
@@ -15,6 +16,7 @@
 {
     std::unique_ptr<Http1::ClientConnection> http;
     std::vector<std::string> refusedAttempts;
+    Utils::TimePoint openedAt;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -28,7 +28,10 @@
     followerEvents.onEraChanged = [this](Utils::StoreEra) { handleEraChanged(); };
     followerEvents.onRow = [this](const Row &row) { handleRow(row); };
     followerEvents.onCaughtUp = [] {};
-    followerEvents.onConfirmed = [this](Utils::TimePoint) { m_isReadingCopy = false; };
+    followerEvents.onConfirmed = [this](Utils::TimePoint at) {
+        m_isReadingCopy = false;
+        m_confirmedAt = std::max(m_confirmedAt, at);
+    };
     followerEvents.onLost = [this](StoreError error) {
         m_wasStoreLost = true;
         Utils::logEvent(Utils::Event::StoreUnavailable,
@@ -86,6 +89,8 @@
     const BackendServer *known = m_context.board.find(row.key);
     const bool isNewIncarnation = known && server->startedAtMs > known->startedAtMs;
     const bool changesState = !known || isNewIncarnation || known->isUsable() != server->isUsable();
+    if (m_events.onStarted && (!known || isNewIncarnation))
+        m_events.onStarted(*server);
     m_context.board.update(*server, m_context.reactor.now());
     if (isNewIncarnation)
         m_events.onGone(row.key);
--- a/src/libs/gateway/backendfollower.h
+++ b/src/libs/gateway/backendfollower.h
@@ -31,6 +31,9 @@
         std::function<void(const std::string &id)>
             onGone; ///< A server or its incarnation has ended.
         std::function<void()> onChanged;
+        /// An incarnation of a server is listed that was not before; called before the registry is
+        /// changed.
+        std::function<void(const BackendServer &)> onStarted = nullptr;
     };
 
     /// Waits for `pause` between two polls, so that changes in quick succession arrive together.
@@ -40,6 +43,8 @@
 
     auto start() -> void;
     auto follower() -> TableFollower &;
+    /// The list contains all entries that were written up to this time.
+    auto confirmedAt() const -> Utils::TimePoint { return m_confirmedAt; }
 
 private:
     struct EndedServer
@@ -60,6 +65,7 @@
     GatewayContext &m_context;
     Events m_events;
     Utils::TimePoint m_regainedAt;
+    Utils::TimePoint m_confirmedAt;
     bool m_wasStoreLost = false;
     std::set<std::string> m_expired;
     std::map<std::string, std::string> m_unreadable; ///< Reasons by key, as logged.
--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -160,6 +160,55 @@
         found->second.pausedUntil = std::max(found->second.pausedUntil, until);
 }
 
+auto BackendRegistry::noteConnectionLost(const std::string &id, std::int64_t startedAtMs,
+                                         TimePoint now) -> void
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end() && found->second.server.startedAtMs == startedAtMs)
+        found->second.lostAt = now;
+}
+
+auto BackendRegistry::noteRefusal(const std::string &id, std::int64_t startedAtMs, TimePoint now)
+    -> void
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end() && found->second.server.startedAtMs == startedAtMs)
+        found->second.refusedAt = now;
+}
+
+auto BackendRegistry::confirmIncarnation(const std::string &id, std::int64_t startedAtMs,
+                                         TimePoint at) -> void
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.server.startedAtMs != startedAtMs)
+        return;
+    if (found->second.lostAt && *found->second.lostAt < at)
+        found->second.lostAt.reset();
+}
+
+auto BackendRegistry::noteAnswered(const std::string &id, std::int64_t startedAtMs,
+                                   TimePoint connectedAt, TimePoint sentAt) -> void
+{
+    // No process survives the restart of its server, and no connection that of its process.
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end() && connectedAt < found->second.lostAt.value_or(TimePoint()))
+        confirmIncarnation(id, startedAtMs, sentAt);
+}
+
+auto BackendRegistry::isIncarnationKnown(const std::string &id, std::int64_t startedAtMs) const
+    -> bool
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.server.startedAtMs == startedAtMs
+        && !found->second.lostAt;
+}
+
+auto BackendRegistry::refusedAt(const std::string &id) const -> std::optional<TimePoint>
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? std::nullopt : found->second.refusedAt;
+}
+
 auto BackendRegistry::pauseEnd(const BackendRequirements &requirements, TimePoint now) const
     -> std::optional<TimePoint>
 {
@@ -217,6 +266,7 @@
 {
     return isSuitable(entry, requirements) && entry.ejectedUntil <= now && entry.avoidedUntil <= now
         && entry.pausedUntil <= now && holds(entry, requirements)
+        && (!requirements.needsKnownIncarnation || !entry.lostAt)
         && loadOf(entry, now) < capacityOf(entry);
 }
 
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -30,6 +30,8 @@
     std::optional<std::string> softwareVersion = {};
     /// If set, only servers of the versions for which it returns true.
     std::function<bool(const std::string &softwareVersion)> mayUseVersion = nullptr;
+    /// Only servers that have not started again since they were listed, as far as is known.
+    bool needsKnownIncarnation = false;
 };
 
 /// The outcome of an attempt, as it concerns the backend server.
@@ -74,6 +76,21 @@
     /// An engine answered that it doesn't hold the model or adapter.
     auto noteMissing(const std::string &id, const std::string &model, const std::string &adapter)
         -> void;
+    /// A connection to that incarnation was lost or refused: the server may have started again, and
+    /// the list may be behind.
+    auto noteConnectionLost(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint now)
+        -> void;
+    /// Nothing listened at the address of that incarnation, so that the next one starts later.
+    auto noteRefusal(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint now) -> void;
+    /// That incarnation was alive at that time.
+    auto confirmIncarnation(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint at)
+        -> void;
+    /// A connection opened at `connectedAt` carried an answer to a request sent at `sentAt`.
+    auto noteAnswered(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint connectedAt,
+                      Utils::TimePoint sentAt) -> void;
+    auto isIncarnationKnown(const std::string &id, std::int64_t startedAtMs) const -> bool;
+    /// When connections to the server were last refused, if ever.
+    auto refusedAt(const std::string &id) const -> std::optional<Utils::TimePoint>;
     /// Maximum number of requests at one server of a service, from all gateways together.
     auto setCapacity(const std::string &service, int slots) -> void;
 
@@ -115,6 +132,8 @@
         Utils::TimePoint avoidedUntil;
         Utils::TimePoint pausedUntil; ///< As announced by the server.
         std::optional<Utils::TimePoint> restartedAt;
+        std::optional<Utils::TimePoint> lostAt; ///< Last lost connection, until confirmed again.
+        std::optional<Utils::TimePoint> refusedAt;
         int reportedOtherRequests = 0; ///< Other gateways' requests in the server's last report.
         Utils::TimePoint reportedAt;
     };
--- a/src/libs/gateway/connectionpool.cpp
+++ b/src/libs/gateway/connectionpool.cpp
@@ -42,7 +42,7 @@
     auto http = Http1::ClientConnection::connect(m_reactor, address);
     if (!http)
         return tl::unexpected(http.error());
-    return BackendConnection{std::move(*http), {}};
+    return BackendConnection{std::move(*http), {}, now};
 }
 
 auto ConnectionPool::release(const std::string &backendId, BackendConnection connection,
@@ -57,13 +57,18 @@
     idle.push_back({std::move(connection), now, now + idleTimeout});
     raw->onIdleEnd([this, backendId, raw] {
         auto &list = m_idle[backendId];
+        bool wasUsable = false;
         for (auto it = list.begin(); it != list.end(); ++it) {
             if (it->connection.http.get() != raw)
                 continue;
+            // Unsolicited data ends an idle connection as well.
+            wasUsable = m_reactor.now() < it->until && !raw->isConnected();
             discard(std::move(it->connection));
             list.erase(it);
-            return;
+            break;
         }
+        if (wasUsable && onConnectionLost)
+            onConnectionLost(backendId);
     });
 }
 
--- a/src/libs/gateway/connectionpool.h
+++ b/src/libs/gateway/connectionpool.h
@@ -6,6 +6,7 @@
 #include <utils/result.h>
 #include <utils/timepoint.h>
 
+#include <functional>
 #include <list>
 #include <map>
 #include <string>
@@ -37,6 +38,9 @@
     /// Closes all idle connections to a server.
     auto closeIdleConnections(const std::string &backendId) -> void;
 
+    /// Called when a server ends an idle connection sooner than it has announced.
+    std::function<void(const std::string &backendId)> onConnectionLost;
+
 private:
     struct Idle
     {
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -94,6 +94,15 @@
 constexpr std::chrono::milliseconds MaxOriginWait(1000);
 /// Longest name of an attempt whose stream can be taken up; names are kept for a while.
 constexpr size_t MaxResumableAttemptBytes = 200;
+/// Time within which a server that has started writes its entry into the list.
+constexpr std::chrono::milliseconds EntryWriteTime(2500);
+/// Shortest and longest interval between two reports requested from a server whose connection was
+/// lost, and the time allowed for one.
+constexpr std::chrono::milliseconds MinReportInterval(400);
+constexpr std::chrono::milliseconds MaxReportInterval(1600);
+constexpr std::chrono::milliseconds ReportTimeout(800);
+/// Limit on streams that are known to have begun lately.
+constexpr size_t MaxStreamBeginnings = 8192;
 /// Delay after the loss of a connection before another one shows whether the server still listens,
 /// and the time allowed for that.
 constexpr std::chrono::milliseconds CrashProbeDelay(50);
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -2,6 +2,7 @@
 
 #include "configuration.h"
 #include "ratelimittable.h"
+#include "streambeginnings.h"
 
 #include <routing/crashfeature.h>
 #include <routing/retrybudget.h>
@@ -59,6 +60,9 @@
         bool isCutOff = true; ///< Not an answer that may be complete.
     };
     std::function<void(const LostRequest &)> onRequestLost = nullptr;
+    /// Called when a connection to that incarnation of a server was lost or not accepted.
+    std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onConnectionLost =
+        nullptr;
     /// Called when a server announces in an answer that it is leaving. `startedAtMs` is the Unix
     /// time at which the server was started.
     std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onLeaving = nullptr;
@@ -70,6 +74,8 @@
     PermitExchange *permits = nullptr; ///< Set before the first request arrives.
     SuspectExchange *suspects = nullptr; ///< Set before the first request arrives.
     StreamOrigins *streamOrigins = nullptr; ///< Set before the first request arrives.
+    /// Called with each stream that begins and may be taken up.
+    std::function<void(StreamBeginnings::Beginning)> onStreamBegun = nullptr;
 
     auto retryBudget(const std::string &service) -> Routing::RetryBudget &
     {
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -11,6 +11,7 @@
 #include "gatewayconstants.h"
 #include "gatewaycontext.h"
 #include "gatewaysettings.h"
+#include "incarnationverifier.h"
 #include "leavingnotifier.h"
 #include "peerlink.h"
 #include "permitexchange.h"
@@ -22,6 +23,7 @@
 #include "rowstore.h"
 #include "stalenessdetector.h"
 #include "statusserver.h"
+#include "streamorigins.h"
 #include "suspectexchange.h"
 #include "tablefollower.h"
 #include "wireformat.h"
@@ -96,6 +98,10 @@
         suspects->noteCrash(crash, at, features);
     }};
     std::map<std::string, std::unique_ptr<ConnectProbe>> crashProbes; ///< By server.
+    StreamBeginnings streamBeginnings{
+        [this](const StreamBeginnings::Beginning &stream) { handleUnprovedStream(stream); }};
+    IncarnationVerifier incarnationVerifier{
+        context, {[this] { return listedUntil(); }, [this] { requestQueue.wake(); }}};
     LeavingNotifier leavingNotifier{registry,
                                     {[this](const nlohmann::json &message) { broadcast(message); },
                                      [this](const std::string &id) {
@@ -248,6 +254,11 @@
             crashTracker.noteServerGone(id, reactor.now());
         };
         backendEvents.onChanged = [this] { requestQueue.wake(); };
+        backendEvents.onStarted = [this](const BackendServer &server) {
+            const auto startedAfter =
+                std::max(listedUntil(), registry.refusedAt(server.id).value_or(listedUntil()));
+            streamBeginnings.noteRestart(server.id, server.startedAtMs, startedAfter);
+        };
         backendFollower =
             std::make_unique<BackendFollower>(context, store, wire.backendTable(),
                                               serverListPollInterval(), std::move(backendEvents));
@@ -403,6 +414,20 @@
         limitRetries();
     }
 
+    /// Incarnations of servers that started up to this time are in the registry.
+    auto listedUntil() const -> Utils::TimePoint
+    {
+        return backendFollower->confirmedAt() - Constants::EntryWriteTime;
+    }
+
+    /// The stream may be that of a later incarnation with other software.
+    auto handleUnprovedStream(const StreamBeginnings::Beginning &stream) -> void
+    {
+        if (context.streamOrigins && !stream.attempt.empty())
+            context.streamOrigins->noteBegun(stream.attempt, stream.service, {});
+        stream.onUnproved();
+    }
+
     auto handleRequestLost(const GatewayContext::LostRequest &lost) -> void
     {
         // Servers that are leaving may end at any time.
@@ -428,9 +453,10 @@
                     [this, id, startedAtMs](ConnectProbe::Outcome outcome) {
                         // Deferred, as the probe is inside its callback.
                         reactor.callAfter(milliseconds(0), [this, id] { crashProbes.erase(id); });
-                        if (outcome == ConnectProbe::Outcome::Refused)
+                        if (outcome == ConnectProbe::Outcome::Refused) {
+                            registry.noteRefusal(id, startedAtMs, reactor.now());
                             crashTracker.noteRefusal(id, startedAtMs, reactor.now());
-                        else if (outcome == ConnectProbe::Outcome::Accepted)
+                        } else if (outcome == ConnectProbe::Outcome::Accepted)
                             crashTracker.noteAccepted(id);
                     });
             });
@@ -535,6 +561,16 @@
     d->context.onRequestLost = [d](const GatewayContext::LostRequest &lost) {
         d->handleRequestLost(lost);
     };
+    d->context.onConnectionLost = [d](const std::string &backendId, std::int64_t startedAtMs) {
+        d->incarnationVerifier.noteConnectionLost(backendId, startedAtMs);
+    };
+    d->pool.onConnectionLost = [d](const std::string &backendId) {
+        if (const BackendServer *server = d->registry.find(backendId))
+            d->incarnationVerifier.noteConnectionLost(backendId, server->startedAtMs);
+    };
+    d->context.onStreamBegun = [d](StreamBeginnings::Beginning stream) {
+        d->streamBeginnings.add(std::move(stream), d->listedUntil());
+    };
     if (const auto error = d->open())
         return tl::unexpected(*error);
     d->startFollowers(store);
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -132,11 +132,21 @@
 auto RequestFlow::beginStream() -> void
 {
     bindToVersion();
-    const std::string &attempt = takesUpStream() ? m_request.resumedAttempt : m_request.attemptId;
-    if (!isResumableStream() || !m_context.streamOrigins || attempt.empty()
-        || attempt.size() > Constants::MaxResumableAttemptBytes)
+    if (!isResumableStream())
         return;
-    m_context.streamOrigins->noteBegun(attempt, m_service, *m_streamVersion);
+    std::string attempt = takesUpStream() ? m_request.resumedAttempt : m_request.attemptId;
+    if (attempt.size() > Constants::MaxResumableAttemptBytes)
+        attempt.clear();
+    if (m_context.streamOrigins && !attempt.empty())
+        m_context.streamOrigins->noteBegun(attempt, m_service, *m_streamVersion);
+    if (!m_context.onStreamBegun)
+        return;
+    m_context.onStreamBegun({std::move(attempt), m_service, m_attempt->backendId(),
+                             m_serverStartedAtMs, m_attempt->connectedAt(),
+                             [weak = weak_from_this()] {
+                                 if (const auto flow = weak.lock())
+                                     flow->m_streamVersion = std::string();
+                             }});
 }
 
 /// Binds a stream that may go on at another server to the version of this one.
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -96,6 +96,12 @@
     return m_route->kind == RouteKind::Stream && m_route->isResumable;
 }
 
+/// True if it matters which version serves the request.
+auto RequestFlow::needsVersion() const -> bool
+{
+    return isResumableStream() || m_streamVersion;
+}
+
 /// Looks up the version that began the stream that the request takes up.
 auto RequestFlow::findOrigin() -> void
 {
@@ -478,6 +484,7 @@
         requirements.affinity = m_request.modelName() + m_request.promptParts.front().id;
     requirements.excluded = m_triedServers;
     requirements.softwareVersion = m_streamVersion;
+    requirements.needsKnownIncarnation = needsVersion();
     if (isResumableStream() && !m_streamVersion && m_context.streamOrigins) {
         requirements.mayUseVersion = [this](const std::string &version) {
             return m_context.streamOrigins->mayBegin(m_service, version);
@@ -525,7 +532,9 @@
     events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs] {
         if (timeLeft() <= Constants::AnswerMargin || m_caller->clientHasDisconnected())
             return false;
-        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs);
+        const bool isReplaced =
+            needsVersion() && !m_context.board.isIncarnationKnown(id, startedAtMs);
+        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs) || isReplaced;
         if (m_isHeldBack)
             return false;
         noteWritten(id, startedAtMs);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -59,6 +59,7 @@
     auto admit() -> void;
     auto takesUpStream() const -> bool;
     auto isResumableStream() const -> bool;
+    auto needsVersion() const -> bool;
     auto findOrigin() -> void;
     auto handleOrigin(const std::optional<std::string> &version) -> void;
     auto cancelOrigin() -> void;
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -131,6 +131,7 @@
     std::int64_t ordersAccepted = 0;
     int running = 0;
     int waiting = 0;
+    std::optional<std::int64_t> startedAtMs; ///< Unix time; unset if the report doesn't tell.
 };
 
 /// Identifies one row of the store.
--- a/tests/auto/platform/tst_streamversions.cpp
+++ b/tests/auto/platform/tst_streamversions.cpp
@@ -107,9 +107,10 @@
     }
 
     auto addVersion(const std::string &id, const std::string &version,
-                    const std::set<std::string> &models = {"m1"}) -> EmulatedEngine &
+                    const std::set<std::string> &models = {"m1"}, const std::string &service = "lm")
+        -> EmulatedEngine &
     {
-        auto &engine = addEngine(id, "lm", models);
+        auto &engine = addEngine(id, service, models);
         engine.softwareVersion = version;
         engine.behaviour.namesVersion = true;
         engine.behaviour.ignoresOrders = true; // Loads would change the entry.
@@ -523,3 +524,110 @@
     EXPECT_EQ(origins->pendingCount(), 0U);
     EXPECT_EQ(engine.arrivals().size(), 0U);
 }
+
+// Guards against the version of a process that has ended (issue 35, ORDER): a server starts again
+// under its id with other software, and a stream begins there before the list tells.
+TEST_F(StreamVersions, StreamThatBeganBeforeARestartWasListedIsOfNoKnownVersion)
+{
+    // The gateway has no connection to the servers of a service without models.
+    putConfiguration(2,
+                     {{"routes",
+                       {{{"name", "r"},
+                         {"host", "h.example"},
+                         {"prefix", "/flow/"},
+                         {"routeType", "streaming"},
+                         {"timeoutMs", 1500},
+                         {"targetLatencyMs", 100},
+                         {"service", "app"},
+                         {"maxAttempts", 2},
+                         {"resumable", true}}}}});
+    auto &server = addVersion("i-1", "v1", {"m1"}, "app");
+    auto &other = addVersion("i-2", "v1", {"m1"}, "app");
+    other.failureDomain = "z";
+    other.announce();
+    startVersionedGateway();
+    server.crash();
+    server.softwareVersion = "v2";
+    server.restart("i-1", false);
+    server.setModels({"m1"});
+    server.behaviour.eventInterval = 250ms;
+    server.behaviour.cutAfterEvents = 4;
+    auto answer = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*answer, address, makeRequest("/flow/x", "a1", m1));
+    ASSERT_TRUE(runUntil([&] { return !origins->begun.empty(); }));
+    EXPECT_EQ(origins->begun.back(), (FakeStreamOrigins::Begun{"a1", "app", "v1"}));
+    server.announce();
+    ASSERT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+    EXPECT_FALSE(answer->isWhole());
+    EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{"v2"});
+    EXPECT_EQ(origins->begun.back(), (FakeStreamOrigins::Begun{"a1", "app", ""}));
+    EXPECT_EQ(other.arrivals().size(), 0U);
+}
+
+// Guards against the version of a process that has ended (issue 35, ORDER): connections to a server
+// are lost, and the list does not tell yet that it has started again.
+TEST_F(StreamVersions, NoStreamBeginsAtAServerThatMayHaveStartedAgain)
+{
+    auto &server = addVersion("i-1", "v1");
+    startVersionedGateway();
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a1", m1))->isWhole());
+    server.crash();
+    server.softwareVersion = "v2";
+    server.restart("i-1", false);
+    server.setModels({"m1"});
+    auto answer = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*answer, address, makeRequest("/batch/x", "a2", m1));
+    wait(500ms);
+    EXPECT_EQ(server.arrivals().size(), 1U);
+    EXPECT_EQ(origins->begun.size(), 1U);
+    server.announce();
+    ASSERT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+    wait(700ms);
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a3", m1))->isWhole());
+    EXPECT_EQ(origins->begun.back(), (FakeStreamOrigins::Begun{"a3", "lm", "v2"}));
+}
+
+// The same for a stream that a caller takes up.
+TEST_F(StreamVersions, NoStreamIsTakenUpAtAServerThatMayHaveStartedAgain)
+{
+    auto &server = addVersion("i-1", "v1");
+    origins->versions["a0"] = "v1";
+    startVersionedGateway();
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a1", m1))->isWhole());
+    server.crash();
+    server.softwareVersion = "v2";
+    server.restart("i-1", false);
+    server.setModels({"m1"});
+    const auto answer = sendRequest(makeRequest("/batch/x", "a2", takeUp("a0", 2)));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_EQ(server.arrivals().size(), 1U);
+}
+
+// Connections are lost, but the server runs on: its report shows that.
+TEST_F(StreamVersions, ServerThatHasOnlyLostItsConnectionsIsConfirmedByItsReport)
+{
+    auto &server = addVersion("i-1", "v1");
+    startVersionedGateway();
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a1", m1))->isWhole());
+    server.resetConnections();
+    const auto sentAt = loop->now();
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a2", m1))->isWhole());
+    EXPECT_LT(loop->now() - sentAt, 500ms);
+}
+
+// The report of the server doesn't tell when it was started; the list would show a restart by then.
+TEST_F(StreamVersions, ServerWhoseReportTellsNoStartIsConfirmedByTheList)
+{
+    auto &server = addVersion("i-1", "v1");
+    server.behaviour.reportsStart = false;
+    startVersionedGateway();
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a1", m1))->isWhole());
+    server.resetConnections();
+    int number = 1;
+    EXPECT_TRUE(runUntil(
+        [&] {
+            return sendRequest(makeRequest("/batch/x", "a" + std::to_string(++number), m1))
+                ->isWhole();
+        },
+        12s));
+}
