--- a/src/libs/gateway/incarnationverifier.cpp
+++ b/src/libs/gateway/incarnationverifier.cpp
@@ -40,7 +40,8 @@
     -> void
 {
     const BackendServer *server = m_context.board.find(backendId);
-    if (!server || server->startedAtMs != startedAtMs || !isVersionNeeded(server->service))
+    if (!server || server->startedAtMs != startedAtMs || server->isLeaving
+        || !isVersionNeeded(server->service))
         return;
     m_context.board.noteConnectionLost(backendId, startedAtMs, m_context.reactor.now());
     const auto [check, isNew] = m_checks.try_emplace(backendId);
@@ -61,7 +62,7 @@
 auto IncarnationVerifier::isSettled(const std::string &backendId) -> bool
 {
     const BackendServer *server = m_context.board.find(backendId);
-    if (!server)
+    if (!server || server->isLeaving)
         return true;
     m_context.board.confirmIncarnation(backendId, server->startedAtMs, m_events.listedUntil());
     return m_context.board.isIncarnationKnown(backendId, server->startedAtMs);
--- a/tests/auto/platform/tst_streamversions.cpp
+++ b/tests/auto/platform/tst_streamversions.cpp
@@ -564,6 +564,38 @@
     EXPECT_EQ(other.arrivals().size(), 0U);
 }
 
+// Guards against the version of the entry as it stands when a stream begins, instead of that of the
+// incarnation to which the request was sent (issue 35, ORDER).
+TEST_F(StreamVersions, StreamThatBeginsAfterItsServersEntryWasReplacedIsOfNoKnownVersion)
+{
+    putConfiguration(2,
+                     {{"routes",
+                       {{{"name", "r"},
+                         {"host", "h.example"},
+                         {"prefix", "/batch/"},
+                         {"routeType", "streaming"},
+                         {"timeoutMs", 4000},
+                         {"targetLatencyMs", 1000},
+                         {"service", "lm"},
+                         {"maxAttempts", 2},
+                         {"resumable", true}}}}});
+    auto &server = addVersion("i-1", "v1");
+    server.behaviour.processingTime = 1000ms;
+    server.behaviour.cutAfterEvents = 2;
+    startVersionedGateway();
+    auto answer = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*answer, address, makeRequest("/batch/x", "a1", m1));
+    ASSERT_TRUE(runUntil([&] { return server.runs() == 1; }));
+    auto &other = addVersion("i-2", "v2");
+    server.softwareVersion = "v2";
+    server.restart("i-1"); // The former process is still writing its answer.
+    ASSERT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+    EXPECT_FALSE(answer->isWhole());
+    EXPECT_EQ(versionsIn(answer->body), std::set<std::string>{"v1"});
+    EXPECT_EQ(origins->begun, (std::vector<FakeStreamOrigins::Begun>{{"a1", "lm", ""}}));
+    EXPECT_EQ(other.arrivals().size(), 0U);
+}
+
 // Guards against the version of a process that has ended (issue 35, ORDER): connections to a server
 // are lost, and the list does not tell yet that it has started again.
 TEST_F(StreamVersions, NoStreamBeginsAtAServerThatMayHaveStartedAgain)
