--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -99,6 +99,8 @@
                         {{"server", server->id},
                          {"service", server->service},
                          {"address", server->address.toString()},
+                         {"softwareVersion", server->softwareVersion},
+                         {"startedAtMs", server->startedAtMs},
                          {"leaving", server->isLeaving},
                          {"models", server->models.size()},
                          {"era", row.version.era},
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -211,6 +211,7 @@
         Utils::Event::StreamEnded,
         {{"request", m_request.attemptId},
          {"server", m_attempt->backendId()},
+         {"softwareVersion", m_serverVersion},
          {"reason", outcome == AttemptEnd::Lost ? "lost_before_answer" : "broken_answer"},
          {"answerBegun", m_answerBegun},
          {"sinceFirstEventMs", sinceFirstEvent},
@@ -395,26 +396,28 @@
                                         : duration_cast<milliseconds>(at - m_arrivedAt).count();
     };
     const auto age = m_context.denialCheck.confirmationAge();
-    Utils::logEvent(status >= 200 && status < 300 ? Utils::Event::RequestServed
-                                                  : Utils::Event::RequestRefused,
-                    {{"request", m_request.attemptId},
-                     {"outcome", outcome},
-                     {"status", status},
-                     {"route", m_route ? m_route->name : std::string()},
-                     {"customer", m_customer ? m_customer->name : std::string()},
-                     {"model", m_request.modelName()},
-                     {"tokens", m_request.tokens()},
-                     {"charged", m_charged},
-                     {"server", m_attempt ? m_attempt->backendId() : m_lastServer},
-                     {"sends", m_sends},
-                     {"mayHaveRun", m_possibleRuns},
-                     {"configuration", m_configuration ? m_configuration->version : 0},
-                     {"configurationAgeMs", age ? duration_cast<milliseconds>(*age).count() : -1},
-                     {"firstEventMs", since(m_firstEventAt)},
-                     {"longestPauseMs", duration_cast<milliseconds>(m_longestPause).count()},
-                     {"crashFeature", m_verdict ? m_verdict->feature.toString() : std::string()},
-                     {"crashes", m_verdict ? m_verdict->crashes : 0},
-                     {"tookMs", since(now)}});
+    Utils::logEvent(
+        status >= 200 && status < 300 ? Utils::Event::RequestServed : Utils::Event::RequestRefused,
+        {{"request", m_request.attemptId},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", m_route ? m_route->name : std::string()},
+         {"customer", m_customer ? m_customer->name : std::string()},
+         {"model", m_request.modelName()},
+         {"tokens", m_request.tokens()},
+         {"charged", m_charged},
+         {"server", m_attempt ? m_attempt->backendId() : m_lastServer},
+         {"sends", m_sends},
+         {"mayHaveRun", m_possibleRuns},
+         {"configuration", m_configuration ? m_configuration->version : 0},
+         {"configurationAgeMs", age ? duration_cast<milliseconds>(*age).count() : -1},
+         {"firstEventMs", since(m_firstEventAt)},
+         {"longestPauseMs", duration_cast<milliseconds>(m_longestPause).count()},
+         {"softwareVersion", m_streamVersion.value_or(std::string())},
+         {"resumes", m_request.resumedAttempt.substr(0, Constants::MaxResumableAttemptBytes)},
+         {"crashFeature", m_verdict ? m_verdict->feature.toString() : std::string()},
+         {"crashes", m_verdict ? m_verdict->crashes : 0},
+         {"tookMs", since(now)}});
 }
 
 } // namespace Gateway
