--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -257,3 +257,39 @@
     required.excluded = {"s1"};
     EXPECT_FALSE(registry.hasPossibleServer(required));
 }
+
+// Guards against streams at a server that may have started again unnoticed (issue 35, ORDER): a
+// connection to it was lost. Only what is from after the loss confirms the incarnation.
+TEST(BackendRegistry, LostConnectionKeepsStreamsAwayUntilTheIncarnationIsConfirmed)
+{
+    BackendRegistry registry("a");
+    auto server = makeServer("s1");
+    registry.update(server, start);
+    BackendRequirements streams = requirements();
+    streams.needsKnownIncarnation = true;
+    const auto isUsed = [&] { return registry.choose(streams, start + 1min).has_value(); };
+    EXPECT_TRUE(isUsed());
+
+    registry.noteConnectionLost("s1", 2, start);
+    EXPECT_TRUE(isUsed()) << "lost by another incarnation";
+    registry.noteConnectionLost("s1", 1, start);
+    EXPECT_FALSE(isUsed());
+    EXPECT_TRUE(registry.hasPossibleServer(streams));
+    EXPECT_TRUE(registry.choose(requirements(), start + 1min)) << "other requests are served";
+    registry.update(server, start + 1s);
+    registry.confirmIncarnation("s1", 1, start);
+    registry.confirmIncarnation("s1", 2, start + 1s);
+    registry.noteAnswered("s1", 1, start + 1s, start + 2s);
+    registry.noteAnswered("s1", 1, start - 2s, start - 1s);
+    EXPECT_FALSE(isUsed());
+
+    registry.noteAnswered("s1", 1, start - 1s, start + 1s);
+    EXPECT_TRUE(isUsed());
+    registry.noteConnectionLost("s1", 1, start + 2s);
+    registry.confirmIncarnation("s1", 1, start + 3s);
+    EXPECT_TRUE(isUsed());
+    registry.noteConnectionLost("s1", 1, start + 4s);
+    server.startedAtMs = 2;
+    registry.update(server, start + 5s);
+    EXPECT_TRUE(isUsed());
+}
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -227,6 +227,11 @@
     EXPECT_TRUE(report->isBusy);
     EXPECT_EQ(report->loadingAdapters, std::set<std::string>{"m1/a2"});
     EXPECT_FALSE(decodeReport("{}"));
+    EXPECT_FALSE(report->startedAtMs);
+    const std::string started = R"({"models":[],"busy":false,"sequence":1,"born":1700000000000})";
+    EXPECT_EQ(decodeReport(started)->startedAtMs, 1700000000000);
+    for (const std::string odd : {"\"1700000000000\"", "1.5", "null", "[1]"})
+        EXPECT_FALSE(decodeReport(replaced(started, "1700000000000", odd))->startedAtMs) << odd;
 }
 
 TEST(Codecs, RefusalsCarryRetryAfter)
