--- a/tests/auto/platform/tst_streamversions.cpp
+++ b/tests/auto/platform/tst_streamversions.cpp
@@ -288,6 +288,40 @@
     EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "b1", m1))->isWhole());
 }
 
+// Guards against a stream that is taken up at another service of its route, chosen by the new
+// attempt's name (issue 35, ORDER).
+TEST_F(StreamVersions, TakeUpGoesToTheServiceThatBeganTheStream)
+{
+    putConfiguration(
+        2,
+        {{"routes",
+          {{{"name", "r"},
+            {"host", "h.example"},
+            {"prefix", "/flow/"},
+            {"routeType", "streaming"},
+            {"timeoutMs", 1500},
+            {"targetLatencyMs", 100},
+            {"trafficSplit",
+             {{{"service", "app"}, {"weight", 1.0}}, {{"service", "lm"}, {"weight", 1.0}}}},
+            {"maxAttempts", 2},
+            {"resumable", true}}}}});
+    addVersion("i-1", "v1", {"m1"}, "app");
+    addVersion("i-2", "v1", {"m1"}, "lm");
+    startVersionedGateway();
+    for (int i = 1; i <= 4; ++i) {
+        const std::string first = "a" + std::to_string(i);
+        EXPECT_TRUE(sendRequest(makeRequest("/flow/x", first, m1))->isWhole());
+        ASSERT_FALSE(origins->begun.empty());
+        const auto begun = origins->begun.back();
+        EXPECT_EQ(begun.attempt, first);
+        origins->versions[first] = "v1";
+        for (const std::string suffix : {"b", "c", "d"}) {
+            sendRequest(makeRequest("/flow/x", first + suffix, takeUp(first, 2)));
+            EXPECT_EQ(origins->begun.back(), begun);
+        }
+    }
+}
+
 // Guards against unknown versions that are taken for equal (issue 35, ORDER): it is known that the
 // stream began at a server whose entry named no version.
 TEST_F(StreamVersions, TakeUpOfAStreamOfAnUnnamedVersionIsRefused)
