--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -26,6 +26,12 @@
     std::string adapter;
     std::string affinity; ///< Among equal servers, the same text selects the same one.
     std::set<std::string> excluded; ///< Servers that this request was already sent to.
+    /// Version that a stream goes on at; no server has the empty one.
+    std::optional<std::string> softwareVersion = {};
+    /// If set, only servers of the versions for which it returns true.
+    std::function<bool(const std::string &softwareVersion)> mayUseVersion = nullptr;
+    /// Only servers that have not started again since they were listed, as far as is known.
+    bool needsKnownIncarnation = false;
 };
 
 /// The outcome of an attempt, as it concerns the backend server.
@@ -70,6 +76,21 @@
     /// An engine answered that it doesn't hold the model or adapter.
     auto noteMissing(const std::string &id, const std::string &model, const std::string &adapter)
         -> void;
+    /// A connection to that incarnation was lost or refused: the server may have started again, and
+    /// the list may be behind.
+    auto noteConnectionLost(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint now)
+        -> void;
+    /// Nothing listened at the address of that incarnation, so that the next one starts later.
+    auto noteRefusal(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint now) -> void;
+    /// That incarnation was alive at that time.
+    auto confirmIncarnation(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint at)
+        -> void;
+    /// A connection opened at `connectedAt` carried an answer to a request sent at `sentAt`.
+    auto noteAnswered(const std::string &id, std::int64_t startedAtMs, Utils::TimePoint connectedAt,
+                      Utils::TimePoint sentAt) -> void;
+    auto isIncarnationKnown(const std::string &id, std::int64_t startedAtMs) const -> bool;
+    /// When connections to the server were last refused, if ever.
+    auto refusedAt(const std::string &id) const -> std::optional<Utils::TimePoint>;
     /// Maximum number of requests at one server of a service, from all gateways together.
     auto setCapacity(const std::string &service, int slots) -> void;
 
@@ -82,6 +103,9 @@
                             Utils::TimePoint now) const -> std::optional<std::string>;
     /// True if a server may serve the request without a permit, now or after a load or a pause.
     auto hasServerWithoutLimit(const BackendRequirements &requirements) const -> bool;
+    /// True if a server may serve the request, now or later: it holds the model, or may load it as
+    /// no other server holds it.
+    auto hasPossibleServer(const BackendRequirements &requirements) const -> bool;
     /// True if any usable server holds the model, with or without free capacity.
     auto isHeld(const BackendRequirements &requirements) const -> bool;
     /// True if the service has any usable server.
@@ -108,6 +132,8 @@
         Utils::TimePoint avoidedUntil;
         Utils::TimePoint pausedUntil; ///< As announced by the server.
         std::optional<Utils::TimePoint> restartedAt;
+        std::optional<Utils::TimePoint> lostAt; ///< Last lost connection, until confirmed again.
+        std::optional<Utils::TimePoint> refusedAt;
         int reportedOtherRequests = 0; ///< Other gateways' requests in the server's last report.
         Utils::TimePoint reportedAt;
     };
@@ -115,9 +141,11 @@
     /// The list's entry, merged with what the server itself announced.
     auto withAnnouncedState(const BackendServer &server) const -> BackendServer;
     auto holds(const Entry &entry, const BackendRequirements &requirements) const -> bool;
+    /// True if the server may serve the request, apart from its models, load and failures.
+    auto isSuitable(const Entry &entry, const BackendRequirements &requirements) const -> bool;
     /// True if the server may get the request now, apart from a permit.
-    auto isCandidate(const std::string &id, const Entry &entry,
-                     const BackendRequirements &requirements, Utils::TimePoint now) const -> bool;
+    auto isCandidate(const Entry &entry, const BackendRequirements &requirements,
+                     Utils::TimePoint now) const -> bool;
     auto needsPermit(const Entry &entry) const -> bool;
     /// The lowest score is the best one.
     auto scoreOf(const Entry &entry, Utils::TimePoint now) const -> double;
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -3,6 +3,7 @@
 #include "configuration.h"
 #include "ratelimittable.h"
 #include "stopschedule.h"
+#include "streambeginnings.h"
 
 #include <net/reactor.h>
 #include <routing/crashfeature.h>
@@ -29,6 +30,7 @@
 class PermitExchange;
 class QuotaLedger;
 class RequestQueue;
+class StreamOrigins;
 class SuspectExchange;
 class WireFormat;
 
@@ -57,6 +59,9 @@
         bool isCutOff = true; ///< Not an answer that may be complete.
     };
     std::function<void(const LostRequest &)> onRequestLost = nullptr;
+    /// Called when a connection to that incarnation of a server was lost or not accepted.
+    std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onConnectionLost =
+        nullptr;
     /// Called when a server announces in an answer that it is leaving. `startedAtMs` is the Unix
     /// time at which the server was started.
     std::function<void(const std::string &backendId, std::int64_t startedAtMs)> onLeaving = nullptr;
@@ -67,6 +72,9 @@
     RateLimitTable rateLimits = {}; ///< Named by backend servers.
     PermitExchange *permits = nullptr; ///< Set before the first request arrives.
     SuspectExchange *suspects = nullptr; ///< Set before the first request arrives.
+    StreamOrigins *streamOrigins = nullptr; ///< Set before the first request arrives.
+    /// Called with each stream that begins and may be taken up.
+    std::function<void(StreamBeginnings::Beginning)> onStreamBegun = nullptr;
 
     /// True if new requests are refused. Timers may be late, so the clock decides.
     auto isStopping() const -> bool { return stop && !stop->acceptsRequests(reactor.now()); }
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -8,6 +8,7 @@
 #include "quotaledger.h"
 #include "requestflow.h"
 #include "requestqueue.h"
+#include "streamorigins.h"
 #include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
@@ -106,6 +107,7 @@
     if (!m_answerBegun) {
         m_answerBegun = true;
         m_firstEventAt = m_context.reactor.now();
+        beginStream();
         m_context.metrics.observe("acacia_first_byte_seconds",
                                   Utils::toSeconds(m_firstEventAt - m_arrivedAt));
         m_caller->begin(m_answer.status, m_answer.forwarded);
@@ -126,6 +128,38 @@
     return isValid;
 }
 
+/// Called before the first event is sent to the caller.
+auto RequestFlow::beginStream() -> void
+{
+    bindToVersion();
+    if (!isResumableStream())
+        return;
+    std::string attempt = takesUpStream() ? m_request.resumedAttempt : m_request.attemptId;
+    if (attempt.size() > Constants::MaxResumableAttemptBytes)
+        attempt.clear();
+    if (m_context.streamOrigins && !attempt.empty())
+        m_context.streamOrigins->noteBegun(attempt, m_service, *m_streamVersion);
+    if (!m_context.onStreamBegun)
+        return;
+    m_context.onStreamBegun({std::move(attempt), m_service, m_attempt->backendId(),
+                             m_serverStartedAtMs, m_attempt->connectedAt(),
+                             [weak = weak_from_this()] {
+                                 if (const auto flow = weak.lock())
+                                     flow->m_streamVersion = std::string();
+                             }});
+}
+
+/// Binds a stream that may go on at another server to the version of this one.
+auto RequestFlow::bindToVersion() -> void
+{
+    if (!m_route->mayRepeat() || m_streamVersion)
+        return;
+    const BackendServer *server = m_context.board.find(m_attempt->backendId());
+    // The answer may be from either of two incarnations.
+    const bool isReplaced = server && server->startedAtMs != m_serverStartedAtMs;
+    m_streamVersion = isReplaced ? std::string() : m_serverVersion;
+}
+
 auto RequestFlow::hasOutlivedBeginning() const -> bool
 {
     return m_attemptBegunAt
@@ -177,6 +211,7 @@
         Utils::Event::StreamEnded,
         {{"request", m_request.attemptId},
          {"server", m_attempt->backendId()},
+         {"softwareVersion", m_serverVersion},
          {"reason", outcome == AttemptEnd::Lost ? "lost_before_answer" : "broken_answer"},
          {"answerBegun", m_answerBegun},
          {"sinceFirstEventMs", sinceFirstEvent},
@@ -370,26 +405,28 @@
                                         : duration_cast<milliseconds>(at - m_arrivedAt).count();
     };
     const auto age = m_context.denialCheck.confirmationAge();
-    Utils::logEvent(status >= 200 && status < 300 ? Utils::Event::RequestServed
-                                                  : Utils::Event::RequestRefused,
-                    {{"request", m_request.attemptId},
-                     {"outcome", outcome},
-                     {"status", status},
-                     {"route", m_route ? m_route->name : std::string()},
-                     {"customer", m_customer ? m_customer->name : std::string()},
-                     {"model", m_request.modelName()},
-                     {"tokens", m_request.tokens()},
-                     {"charged", m_charged},
-                     {"server", m_attempt ? m_attempt->backendId() : m_lastServer},
-                     {"sends", m_sends},
-                     {"mayHaveRun", m_possibleRuns},
-                     {"configuration", m_configuration ? m_configuration->version : 0},
-                     {"configurationAgeMs", age ? duration_cast<milliseconds>(*age).count() : -1},
-                     {"firstEventMs", since(m_firstEventAt)},
-                     {"longestPauseMs", duration_cast<milliseconds>(m_longestPause).count()},
-                     {"crashFeature", m_verdict ? m_verdict->feature.toString() : std::string()},
-                     {"crashes", m_verdict ? m_verdict->crashes : 0},
-                     {"tookMs", since(now)}});
+    Utils::logEvent(
+        status >= 200 && status < 300 ? Utils::Event::RequestServed : Utils::Event::RequestRefused,
+        {{"request", m_request.attemptId},
+         {"outcome", outcome},
+         {"status", status},
+         {"route", m_route ? m_route->name : std::string()},
+         {"customer", m_customer ? m_customer->name : std::string()},
+         {"model", m_request.modelName()},
+         {"tokens", m_request.tokens()},
+         {"charged", m_charged},
+         {"server", m_attempt ? m_attempt->backendId() : m_lastServer},
+         {"sends", m_sends},
+         {"mayHaveRun", m_possibleRuns},
+         {"configuration", m_configuration ? m_configuration->version : 0},
+         {"configurationAgeMs", age ? duration_cast<milliseconds>(*age).count() : -1},
+         {"firstEventMs", since(m_firstEventAt)},
+         {"longestPauseMs", duration_cast<milliseconds>(m_longestPause).count()},
+         {"softwareVersion", m_streamVersion.value_or(std::string())},
+         {"resumes", m_request.resumedAttempt.substr(0, Constants::MaxResumableAttemptBytes)},
+         {"crashFeature", m_verdict ? m_verdict->feature.toString() : std::string()},
+         {"crashes", m_verdict ? m_verdict->crashes : 0},
+         {"tookMs", since(now)}});
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -7,6 +7,7 @@
 #include "permitexchange.h"
 #include "quotaledger.h"
 #include "requestqueue.h"
+#include "streamorigins.h"
 #include "suspectexchange.h"
 
 #include <http1/serverconnection.h>
@@ -78,10 +79,65 @@
     if (m_needsModel)
         m_context.demand.noteArrived(m_modelKey, m_arrivedAt);
     startTimers();
+    if (takesUpStream())
+        return findOrigin();
     if (!trySend())
         waitForServer();
 }
 
+auto RequestFlow::takesUpStream() const -> bool
+{
+    return m_route->kind == RouteKind::Stream && m_request.takesUpStream;
+}
+
+/// True if the caller may take up the stream with another request.
+auto RequestFlow::isResumableStream() const -> bool
+{
+    return m_route->kind == RouteKind::Stream && m_route->isResumable;
+}
+
+/// True if it matters which version serves the request.
+auto RequestFlow::needsVersion() const -> bool
+{
+    return isResumableStream() || m_streamVersion;
+}
+
+/// Looks up the version that began the stream that the request takes up.
+auto RequestFlow::findOrigin() -> void
+{
+    if (!m_context.streamOrigins)
+        return refuse(RefusalReason::UnknownStream);
+    const Duration patience = std::clamp<Duration>(m_waitEnd - m_context.reactor.now(),
+                                                   Duration::zero(), Constants::MaxOriginWait);
+    m_originTicket = m_context.streamOrigins->find(
+        m_request.resumedAttempt, m_service, patience,
+        [weak = weak_from_this()](const std::optional<std::string> &version) {
+            if (const auto flow = weak.lock())
+                flow->handleOrigin(version);
+        });
+}
+
+auto RequestFlow::handleOrigin(const std::optional<std::string> &version) -> void
+{
+    m_originTicket.reset();
+    if (m_isDone)
+        return;
+    if (!version || version->empty())
+        return refuse(RefusalReason::UnknownStream);
+    m_streamVersion = version;
+    if (m_context.isStopping())
+        return abort();
+    if (!trySend())
+        waitForServer();
+}
+
+auto RequestFlow::cancelOrigin() -> void
+{
+    if (m_originTicket)
+        m_context.streamOrigins->cancel(*m_originTicket);
+    m_originTicket.reset();
+}
+
 /// Runs the checks that need no quota or server. Returns false if the request was refused or waits
 /// for a confirmation of the configuration.
 auto RequestFlow::validate() -> bool
@@ -111,6 +167,12 @@
         refuse(RefusalReason::NoBackendServer);
         return false;
     }
+    const std::string &resumed = m_request.resumedAttempt;
+    if (takesUpStream()
+        && (resumed.empty() || resumed.size() > Constants::MaxResumableAttemptBytes)) {
+        refuse(RefusalReason::UnknownStream);
+        return false;
+    }
     std::vector<std::string> parts;
     for (const PromptPart &part : m_request.promptParts)
         parts.push_back(part.id);
@@ -211,15 +273,16 @@
                                                });
 }
 
-/// Chooses the service by a hash of the attempt's identity, so that retries use the same service.
+/// Chooses the service by a hash of the attempt's identity, so that retries use the same service,
+/// and streams are taken up at the service that began them.
 auto RequestFlow::selectService() -> void
 {
     double total = 0;
     for (const ServiceShare &share : m_route->shares)
         total += share.weight;
     constexpr std::uint64_t steps = 1 << 20;
-    double point =
-        static_cast<double>(Utils::stableHash(m_request.attemptId) % steps) / steps * total;
+    const std::string &identity = takesUpStream() ? m_request.resumedAttempt : m_request.attemptId;
+    double point = static_cast<double>(Utils::stableHash(identity) % steps) / steps * total;
     m_service = m_route->shares.back().service;
     for (const ServiceShare &share : m_route->shares) {
         if (point < share.weight) {
@@ -257,7 +320,7 @@
 
 auto RequestFlow::waitForServer() -> void
 {
-    if (m_isDone || m_isWaiting || refuseIfAllPaused())
+    if (m_isDone || m_isWaiting || refuseIfAllPaused() || refuseIfVersionIsGone())
         return;
     m_isWaiting = true;
     const RequestRank rank = {m_customer ? m_customer->priority : 0, m_route->priority,
@@ -271,10 +334,11 @@
 }
 
 /// Refuses the request if all servers have asked for a pause that outlasts its waiting time.
-/// Requests for a model keep waiting, as another engine may load the model.
+/// Requests for a model keep waiting, as another engine may load the model, unless they need one
+/// of a certain version.
 auto RequestFlow::refuseIfAllPaused() -> bool
 {
-    if (m_needsModel)
+    if (m_needsModel && !m_streamVersion)
         return false;
     const auto pauseEnd = m_context.board.pauseEnd(requirements(), m_context.reactor.now());
     if (!pauseEnd || *pauseEnd < m_waitEnd)
@@ -283,6 +347,15 @@
     return true;
 }
 
+/// Refuses a request that goes on with a stream if no server of its version can serve it any more.
+auto RequestFlow::refuseIfVersionIsGone() -> bool
+{
+    if (!m_streamVersion || m_context.board.hasPossibleServer(requirements()))
+        return false;
+    refuse(m_possibleRuns > 0 ? RefusalReason::BackendFailed : RefusalReason::NoBackendServer);
+    return true;
+}
+
 auto RequestFlow::stopWaiting() -> void
 {
     if (!m_isWaiting)
@@ -364,7 +437,7 @@
         return;
     if (trySend())
         stopWaiting();
-    else
+    else if (!refuseIfVersionIsGone())
         requestPermit();
 }
 
@@ -411,6 +484,13 @@
     if (m_route->hasPromptParts && !m_request.promptParts.empty())
         requirements.affinity = m_request.modelName() + m_request.promptParts.front().id;
     requirements.excluded = m_triedServers;
+    requirements.softwareVersion = m_streamVersion;
+    requirements.needsKnownIncarnation = needsVersion();
+    if (isResumableStream() && !m_streamVersion && m_context.streamOrigins) {
+        requirements.mayUseVersion = [this](const std::string &version) {
+            return m_context.streamOrigins->mayBegin(m_service, version);
+        };
+    }
     return requirements;
 }
 
@@ -432,6 +512,7 @@
                                        + m_route->priority + (toleratesDelay ? 1 : 0));
     }
     m_serverStartedAtMs = server.startedAtMs;
+    m_serverVersion = server.softwareVersion;
     m_attemptBegunAt.reset();
     m_hasNotedSurvival = false;
     m_hasHead = false;
@@ -452,7 +533,9 @@
     events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs] {
         if (timeLeft() <= Constants::AnswerMargin || m_caller->clientHasDisconnected())
             return false;
-        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs);
+        const bool isReplaced =
+            needsVersion() && !m_context.board.isIncarnationKnown(id, startedAtMs);
+        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs) || isReplaced;
         if (m_isHeldBack)
             return false;
         noteWritten(id, startedAtMs);
@@ -507,9 +590,10 @@
     if (m_isDone)
         return;
     const bool mayHaveRun = m_possibleRuns > 0 || (m_attempt && m_attempt->mayHaveArrived());
-    refuse(mayHaveRun         ? RefusalReason::DeadlinePassed
-               : m_needsModel ? RefusalReason::LoadFailed
-                              : RefusalReason::NoBackendServer);
+    refuse(mayHaveRun           ? RefusalReason::DeadlinePassed
+               : m_originTicket ? RefusalReason::UnknownStream
+               : m_needsModel   ? RefusalReason::LoadFailed
+                                : RefusalReason::NoBackendServer);
 }
 
 auto RequestFlow::handleWaitTimeout() -> void
@@ -553,6 +637,7 @@
     case RefusalReason::NotFresh:
     case RefusalReason::Draining:
     case RefusalReason::LoadFailed:
+    case RefusalReason::UnknownStream:
         return Constants::DefaultRetryAfter;
     default:
         return {};
@@ -594,6 +679,7 @@
     m_caller = nullptr;
     stopWaiting();
     cancelConfirmation();
+    cancelOrigin();
     m_context.reactor.cancel(m_deadlineTimer);
     m_context.reactor.cancel(m_waitTimer);
     m_context.reactor.cancel(m_quotaTimer);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -57,10 +57,17 @@
     auto waitForQuota(int checksLeft) -> void;
     auto tryChargeQuota() -> bool;
     auto admit() -> void;
+    auto takesUpStream() const -> bool;
+    auto isResumableStream() const -> bool;
+    auto needsVersion() const -> bool;
+    auto findOrigin() -> void;
+    auto handleOrigin(const std::optional<std::string> &version) -> void;
+    auto cancelOrigin() -> void;
     auto selectService() -> void;
     auto startTimers() -> void;
     auto waitForServer() -> void;
     auto refuseIfAllPaused() -> bool;
+    auto refuseIfVersionIsGone() -> bool;
     auto stopWaiting() -> void;
     auto requestPermit() -> void;
     auto cancelPermit() -> void;
@@ -87,6 +94,8 @@
     auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> bool;
+    auto beginStream() -> void;
+    auto bindToVersion() -> void;
     auto mayRelay(const StreamEvent &event) const -> bool;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
@@ -128,6 +137,7 @@
     Net::Reactor::TimerId m_confirmationTimer = 0;
     std::optional<std::uint64_t> m_confirmationTicket; ///< Set while the request waits for a
                                                        ///< confirmation of the configuration.
+    std::optional<std::uint64_t> m_originTicket; ///< While the version of a stream is looked up.
     Net::Reactor::TimerId m_silenceTimer = 0;
     bool m_isWaiting = false;
     std::optional<std::uint64_t> m_permitTicket; ///< While a permit is requested.
@@ -141,6 +151,9 @@
 
     std::unique_ptr<BackendAttempt> m_attempt;
     std::int64_t m_serverStartedAtMs = 0; ///< Of the current attempt's server.
+    std::string m_serverVersion; ///< Of the current attempt's server when the request was sent.
+    /// Version that the stream goes on at, once one has begun it; empty if that is unknown.
+    std::optional<std::string> m_streamVersion;
     std::optional<Utils::TimePoint> m_attemptBegunAt; ///< First event of the current attempt.
     bool m_hasNotedSurvival = false;
     std::vector<std::unique_ptr<BackendAttempt>> m_endedAttempts;
--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -208,3 +208,88 @@
     EXPECT_EQ(registry.choose(requirements(), start), "e1");
     EXPECT_EQ(registry.inFlight("e1"), 1);
 }
+
+// Guards against streams that go on at another software version (issue 35, ORDER): no question of
+// the registry may leave the version out, and an unnamed one equals none.
+TEST(BackendRegistry, RequiredVersionHoldsForEveryQuestion)
+{
+    BackendRegistry registry("a");
+    auto old = makeServer("s1");
+    old.softwareVersion = "v1";
+    auto unnamed = makeServer("s2");
+    unnamed.softwareVersion = "";
+    for (const auto &server : {old, unnamed})
+        registry.update(server, start);
+    BackendRequirements required = requirements();
+    for (const std::string version : {"v1", "v2", ""}) {
+        const bool isServed = version == "v1";
+        required.softwareVersion = version;
+        EXPECT_EQ(registry.choose(required, start).has_value(), isServed) << version;
+        EXPECT_EQ(registry.hasServerWithoutLimit(required), isServed) << version;
+        EXPECT_EQ(registry.hasPossibleServer(required), isServed) << version;
+    }
+    registry.notePause("s2", start + 2s);
+    required.softwareVersion = "v1";
+    EXPECT_FALSE(registry.pauseEnd(required, start));
+    registry.notePause("s1", start + 3s);
+    EXPECT_EQ(registry.pauseEnd(required, start), start + 3s);
+}
+
+// A model that another server holds isn't loaded for the sake of a version.
+TEST(BackendRegistry, ServerIsPossibleIfItHoldsTheModelOrNoServerDoes)
+{
+    BackendRegistry registry("a");
+    auto old = makeServer("s1");
+    old.softwareVersion = "v1";
+    auto newer = makeServer("s2");
+    newer.softwareVersion = "v2";
+    registry.update(old, start);
+    registry.update(newer, start);
+    BackendRequirements required = {"filing", "m", {}, {}, {}};
+    required.softwareVersion = "v1";
+    EXPECT_TRUE(registry.hasPossibleServer(required));
+    newer.models["m"] = {};
+    registry.update(newer, start);
+    EXPECT_FALSE(registry.hasPossibleServer(required));
+    old.models["m"] = {};
+    registry.update(old, start);
+    EXPECT_TRUE(registry.hasPossibleServer(required));
+    required.excluded = {"s1"};
+    EXPECT_FALSE(registry.hasPossibleServer(required));
+}
+
+// Guards against streams at a server that may have started again unnoticed (issue 35, ORDER): a
+// connection to it was lost. Only what is from after the loss confirms the incarnation.
+TEST(BackendRegistry, LostConnectionKeepsStreamsAwayUntilTheIncarnationIsConfirmed)
+{
+    BackendRegistry registry("a");
+    auto server = makeServer("s1");
+    registry.update(server, start);
+    BackendRequirements streams = requirements();
+    streams.needsKnownIncarnation = true;
+    const auto isUsed = [&] { return registry.choose(streams, start + 1min).has_value(); };
+    EXPECT_TRUE(isUsed());
+
+    registry.noteConnectionLost("s1", 2, start);
+    EXPECT_TRUE(isUsed()) << "lost by another incarnation";
+    registry.noteConnectionLost("s1", 1, start);
+    EXPECT_FALSE(isUsed());
+    EXPECT_TRUE(registry.hasPossibleServer(streams));
+    EXPECT_TRUE(registry.choose(requirements(), start + 1min)) << "other requests are served";
+    registry.update(server, start + 1s);
+    registry.confirmIncarnation("s1", 1, start);
+    registry.confirmIncarnation("s1", 2, start + 1s);
+    registry.noteAnswered("s1", 1, start + 1s, start + 2s);
+    registry.noteAnswered("s1", 1, start - 2s, start - 1s);
+    EXPECT_FALSE(isUsed());
+
+    registry.noteAnswered("s1", 1, start - 1s, start + 1s);
+    EXPECT_TRUE(isUsed());
+    registry.noteConnectionLost("s1", 1, start + 2s);
+    registry.confirmIncarnation("s1", 1, start + 3s);
+    EXPECT_TRUE(isUsed());
+    registry.noteConnectionLost("s1", 1, start + 4s);
+    server.startedAtMs = 2;
+    registry.update(server, start + 5s);
+    EXPECT_TRUE(isUsed());
+}
