--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -28,7 +28,11 @@
     followerEvents.onEraChanged = [this](Utils::StoreEra) { handleEraChanged(); };
     followerEvents.onRow = [this](const Row &row) { handleRow(row); };
     followerEvents.onCaughtUp = [] {};
-    followerEvents.onConfirmed = [this](Utils::TimePoint) { m_isReadingCopy = false; };
+    followerEvents.onConfirmed = [this](Utils::TimePoint at) {
+        m_isReadingCopy = false;
+        if (m_events.onConfirmed)
+            m_events.onConfirmed(at);
+    };
     followerEvents.onLost = [this](StoreError error) {
         m_wasStoreLost = true;
         Utils::logEvent(Utils::Event::StoreUnavailable,
--- a/src/libs/gateway/backendfollower.h
+++ b/src/libs/gateway/backendfollower.h
@@ -31,6 +31,8 @@
         std::function<void(const std::string &id)>
             onGone; ///< A server or its incarnation has ended.
         std::function<void()> onChanged;
+        /// The registry contains what the store's list held at that time.
+        std::function<void(Utils::TimePoint at)> onConfirmed = nullptr;
     };
 
     /// Waits for `pause` between two polls, so that changes in quick succession arrive together.
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -22,6 +22,7 @@
 #include "rowstore.h"
 #include "stalenessdetector.h"
 #include "statusserver.h"
+#include "storedstreamorigins.h"
 #include "suspectexchange.h"
 #include "tablefollower.h"
 #include "wireformat.h"
@@ -36,6 +37,7 @@
 #include <utils/eventlog.h>
 
 #include <algorithm>
+#include <random>
 
 namespace Gateway {
 
@@ -111,6 +113,8 @@
     std::unique_ptr<QuotaExchange> quotaExchange;
     std::unique_ptr<PermitExchange> permits;
     std::unique_ptr<SuspectExchange> suspects;
+    std::unique_ptr<StoredStreamOrigins> streamOrigins;
+    bool isVersionUpdateScheduled = false;
     std::unique_ptr<Http1::TcpListener> callerListener;
     std::unique_ptr<StatusServer> readinessServer;
     std::unique_ptr<StatusServer> metricsServer;
@@ -224,7 +228,10 @@
     {
         TableFollower::Events events;
         const RowName configurationRow = wire.configurationRow();
-        events.onEraChanged = [this](Utils::StoreEra era) { placement->handleStoreEra(era); };
+        events.onEraChanged = [this](Utils::StoreEra era) {
+            placement->handleStoreEra(era);
+            streamOrigins->handleStoreEra(era);
+        };
         events.onRow = [this, key = configurationRow.key](const Row &row) {
             if (row.key == key && !row.isRemoved)
                 applyConfiguration(row);
@@ -246,8 +253,16 @@
         backendEvents.onGone = [this](const std::string &id) {
             pool.closeIdleConnections(id);
             crashTracker.noteServerGone(id, reactor.now());
+            updateVersionsSoon();
+        };
+        backendEvents.onChanged = [this] {
+            requestQueue.wake();
+            updateVersionsSoon();
+        };
+        backendEvents.onConfirmed = [this](Utils::TimePoint at) {
+            updateVersions();
+            streamOrigins->noteListConfirmed(at);
         };
-        backendEvents.onChanged = [this] { requestQueue.wake(); };
         backendFollower =
             std::make_unique<BackendFollower>(context, store, wire.backendTable(),
                                               serverListPollInterval(), std::move(backendEvents));
@@ -280,6 +295,7 @@
         context.suspects = suspects.get();
         registry.setSendAllowance(permits.get());
         context.permits = permits.get();
+        createStreamOrigins(store);
         context.onModelNeeded = [this] { placement->requestUpdate(); };
         context.onQuotaShortage = [this] { quotaExchange->requestMissingQuota(); };
         PlacementCoordinator::CoordinationEvents coordinationEvents;
@@ -296,7 +312,10 @@
                 denialCheck.noteNewerConfiguration();
             serverListStaleness.notePeerVersion(peer.serverRow, reactor.now());
         };
-        coordinationEvents.onStoreRecovered = [this] { requeryAll("store back"); };
+        coordinationEvents.onStoreRecovered = [this] {
+            requeryAll("store back");
+            streamOrigins->handleStoreRecovered();
+        };
         coordinationEvents.onGatewayCount = [this](int count) { setGatewayCount(count); };
         coordinationEvents.onQuotaSharesConfirmed = [this] { quota.confirmParts(reactor.now()); };
         placement->setCoordinationEvents(std::move(coordinationEvents));
@@ -305,6 +324,40 @@
         placement->start();
     }
 
+    auto createStreamOrigins(RowStore &store) -> void
+    {
+        StoredStreamOrigins::Events events;
+        events.onMayBeginChanged = [this] { requestQueue.wake(); };
+        events.onLookup = [this](StoredStreamOrigins::Source source) {
+            metrics.count("acacia_stream_origins_total",
+                          {{"source", StoredStreamOrigins::sourceName(source)}});
+        };
+        events.suspendedTime = [this] { return Utils::bootTime() - reactor.now(); };
+        std::random_device random;
+        constexpr int halfBits = 32;
+        const auto seed = (std::uint64_t(random()) << halfBits) + random();
+        streamOrigins = std::make_unique<StoredStreamOrigins>(reactor, store, settings.isFirstStart,
+                                                              seed, std::move(events));
+        context.streamOrigins = streamOrigins.get();
+        streamOrigins->start();
+    }
+
+    auto updateVersionsSoon() -> void
+    {
+        if (std::exchange(isVersionUpdateScheduled, true))
+            return;
+        reactor.callAfter(milliseconds(0), [this] { updateVersions(); });
+    }
+
+    auto updateVersions() -> void
+    {
+        isVersionUpdateScheduled = false;
+        StoredStreamOrigins::ListedVersions versions;
+        for (const BackendServer *server : registry.servers())
+            versions[server->service].insert(server->softwareVersion);
+        streamOrigins->setListedVersions(versions);
+    }
+
     auto applyConfiguration(const Row &row) -> void
     {
         auto parsed = row.fault ? tl::unexpected(*row.fault) : wire.parseConfiguration(row.value);
@@ -401,6 +454,7 @@
         registry.setGatewayCount(count);
         quota.setGatewayCount(count, reactor.now());
         limitRetries();
+        streamOrigins->setGatewayCount(count);
     }
 
     auto handleRequestLost(const GatewayContext::LostRequest &lost) -> void
