--- a/src/libs/gateway/storedstreamorigins.cpp
+++ b/src/libs/gateway/storedstreamorigins.cpp
@@ -30,9 +30,6 @@
 constexpr milliseconds ContactLifetime = StoredStreamOrigins::VersionRetention / 2;
 /// Longest time between two confirmations of the list of servers without a gap.
 constexpr milliseconds MaxListGap(6000);
-/// How long a version that was in the store's row before the store came back from a copy is in use
-/// without being in the row again.
-constexpr milliseconds EarlierEraLifetime = StoredStreamOrigins::VersionRetention / 4;
 /// A version that wasn't listed for this long has to be read in the row again.
 constexpr milliseconds UnlistedLifetime = StoredStreamOrigins::VersionRetention / 4;
 /// A version that was listed within this time belongs into the row if the store has lost it.
@@ -133,6 +130,11 @@
     return m_listConfirmedAt && now() - *m_listConfirmedAt <= ContactLifetime;
 }
 
+auto StoredStreamOrigins::isListCurrent() const -> bool
+{
+    return m_listConfirmedAt && now() - *m_listConfirmedAt <= MaxListGap;
+}
+
 auto StoredStreamOrigins::service(const std::string &name) -> Service &
 {
     return m_services[name];
@@ -190,7 +192,8 @@
             service.listed[version] = known != before.end() ? known->second : ++m_step;
         }
     }
-    if (!m_era && !m_services.empty())
+    // At the first start all gateways would write the missing rows at once.
+    if (!m_era && !m_services.empty() && !m_isFirstStart)
         return readVersions();
     syncSoon();
 }
@@ -266,11 +269,8 @@
     const auto found = m_services.find(service);
     if (found == m_services.end() || !m_era || !hasContact())
         return false;
-    const auto &acknowledged = found->second.acknowledged;
-    const auto known = acknowledged.find(VersionSet::normalized(version));
-    if (known == acknowledged.end())
-        return false;
-    return known->second == *m_era || now() - m_eraLearnedAt <= EarlierEraLifetime;
+    // A row that the store has lost in a copy is written again, and proves nothing until then.
+    return found->second.acknowledged.count(VersionSet::normalized(version)) > 0;
 }
 
 auto StoredStreamOrigins::noteBegun(const std::string &attempt, const std::string &serviceName,
@@ -361,7 +361,7 @@
     if (!service.hasExisted && m_isFirstStart && *m_era == StoreEra(0))
         return true;
     const TimePoint since = std::max(m_eraLearnedAt, service.incompleteSince.value_or(now()));
-    return now() - since >= VersionRetention;
+    return isListCurrent() && now() - since >= VersionRetention;
 }
 
 auto StoredStreamOrigins::isOutOfUse(const Service &service, const std::string &version) const
--- a/src/libs/gateway/storedstreamorigins.h
+++ b/src/libs/gateway/storedstreamorigins.h
@@ -132,6 +132,7 @@
 
     auto now() const -> Utils::TimePoint;
     auto hasContact() const -> bool;
+    auto isListCurrent() const -> bool;
     auto service(const std::string &name) -> Service &;
     auto isRecording(const Service &service) const -> bool;
     auto noteListed(Service &service, const std::string &version) -> void;
--- a/src/libs/gateway/versionset.cpp
+++ b/src/libs/gateway/versionset.cpp
@@ -32,6 +32,10 @@
 {
     if (version.size() > MaxVersionLength)
         return {};
+    constexpr unsigned char firstNonAscii = 0x80;
+    if (std::all_of(version.begin(), version.end(),
+                    [](unsigned char c) { return c < firstNonAscii; }))
+        return version;
     const std::string text = json(version).dump(-1, ' ', false, json::error_handler_t::replace);
     const auto read = Utils::parseJson(text);
     return read && *read == version ? version : std::string();
--- a/tests/auto/gateway/tst_streamorigins.cpp
+++ b/tests/auto/gateway/tst_streamorigins.cpp
@@ -1,7 +1,7 @@
 // Guards against streams that are joined from two software versions of a service's servers, over
 // the ends of gateways, lost answers and copies of the store (issue 35, ORDER).
 
-#include "../shared/virtualrowstore.h"
+#include "../shared/virtualrowstoreclient.h"
 #include "../shared/virtualscheduler.h"
 
 #include <gateway/originjournal.h>
@@ -866,7 +866,9 @@
     fleet.start();
     fleet.run(10s);
     EXPECT_TRUE(fleet.isConfirmed());
-    EXPECT_LT(fleet.store.writes, writesPerSecond * 2);
+    std::cout << "first start: " << fleet.store.writes << " writes, " << fleet.store.reads
+              << " reads\n";
+    EXPECT_LT(fleet.store.writes, writesPerSecond / 4);
     const auto writesBefore = fleet.store.writes;
     int number = 0;
     size_t mostWrites = 0;
