--- a/tests/auto/gateway/tst_streamorigins.cpp
+++ b/tests/auto/gateway/tst_streamorigins.cpp
@@ -658,24 +658,26 @@
 
 TEST(StreamOrigins, CopyWithoutTheRecordsIsWrittenAgain)
 {
-    const auto fleet = makeMixedFleet();
-    const auto before = fleet->scheduler.now();
-    fleet->run(1s);
-    ASSERT_TRUE(fleet->begin(0, "old", "v1"));
-    ASSERT_TRUE(fleet->begin(0, "new", "v2"));
-    fleet->run(2s);
-    fleet->isCopyRecent = true;
-    fleet->store.restoreCopy(before);
-    for (const auto &node : fleet->nodes)
-        node->origins->handleStoreEra(fleet->store.era);
-    // Streams go on beginning.
-    EXPECT_TRUE(fleet->begin(0, "third", "v2"));
-    fleet->run(3s);
-    fleet->restartAll();
-    fleet->run(1s);
-    EXPECT_EQ(fleet->takeUpNow(1, "old"), "v1");
-    EXPECT_EQ(fleet->takeUpNow(1, "new"), "v2");
-    EXPECT_EQ(fleet->takeUpNow(1, "third"), "v2");
+    for (const bool doMoreBegin : {false, true}) {
+        const auto fleet = makeMixedFleet();
+        const auto before = fleet->scheduler.now();
+        fleet->run(1s);
+        ASSERT_TRUE(fleet->begin(0, "old", "v1"));
+        ASSERT_TRUE(fleet->begin(0, "new", "v2"));
+        fleet->run(2s);
+        fleet->isCopyRecent = true;
+        fleet->store.restoreCopy(before);
+        for (const auto &node : fleet->nodes)
+            node->origins->handleStoreEra(fleet->store.era);
+        // Streams go on beginning.
+        EXPECT_TRUE(!doMoreBegin || fleet->begin(0, "third", "v2"));
+        fleet->run(3s);
+        fleet->restartAll();
+        fleet->run(1s);
+        EXPECT_EQ(fleet->takeUpNow(1, "old"), "v1");
+        EXPECT_EQ(fleet->takeUpNow(1, "new"), "v2");
+        EXPECT_TRUE(!doMoreBegin || fleet->takeUpNow(1, "third") == "v2");
+    }
 }
 
 TEST(StreamOrigins, CopyInCalmIsRecordedUntilItIsConfirmed)
@@ -756,6 +758,24 @@
     EXPECT_TRUE(fleet->begin(0, "new", "v2"));
 }
 
+TEST(StreamOrigins, GatewayThatIsBackInTouchReadsTheRowBeforeItUsesAVersion)
+{
+    const auto fleet = makeMixedFleet();
+    fleet->nodes[0]->client->fault = Fault::Cut;
+    fleet->list({"v2"});
+    fleet->run(Retention + 20s);
+    ASSERT_EQ(fleet->rowNames(), std::set<std::string>{"v2"});
+    // Version v1 is listed again before the first gateway learns that it wasn't.
+    for (size_t i = 1; i < 4; ++i)
+        fleet->kill(i);
+    fleet->list({"v1", "v2"});
+    fleet->nodes[0]->client->fault = Fault::None;
+    fleet->nodes[0]->client->answerTime = 1000ms;
+    fleet->run(10s);
+    EXPECT_EQ(fleet->rowNames(), (std::set<std::string>{"v1", "v2"}));
+    EXPECT_TRUE(fleet->begin(0, "again", "v1"));
+}
+
 TEST(StreamOrigins, GatewaysThatWriteAtOnceKeepEachOthersVersions)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
