--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -31,6 +31,8 @@
     followerEvents.onConfirmed = [this](Utils::TimePoint at) {
         m_isReadingCopy = false;
         m_confirmedAt = std::max(m_confirmedAt, at);
+        if (m_events.onConfirmed)
+            m_events.onConfirmed(at);
     };
     followerEvents.onLost = [this](StoreError error) {
         m_wasStoreLost = true;
--- a/src/libs/gateway/backendfollower.h
+++ b/src/libs/gateway/backendfollower.h
@@ -34,6 +34,8 @@
         /// An incarnation of a server is listed that was not before; called before the registry is
         /// changed.
         std::function<void(const BackendServer &)> onStarted = nullptr;
+        /// The registry contains what the store's list held at that time.
+        std::function<void(Utils::TimePoint at)> onConfirmed = nullptr;
     };
 
     /// Waits for `pause` between two polls, so that changes in quick succession arrive together.
