--- a/src/libs/gateway/storedstreamorigins.cpp
+++ b/src/libs/gateway/storedstreamorigins.cpp
@@ -162,9 +162,9 @@
         service.streams.removeExpired(at);
         for (const auto &[version, step] : service.listed)
             service.lastListedAt[version] = at;
-        std::erase_if(service.acknowledged, [&](const auto &item) {
-            const auto last = service.lastListedAt.find(item.first);
-            return last == service.lastListedAt.end() || at - last->second > UnlistedLifetime;
+        std::erase_if(service.acknowledged, [at, &times = service.lastListedAt](const auto &item) {
+            const auto last = times.find(item.first);
+            return last == times.end() || at - last->second > UnlistedLifetime;
         });
         std::erase_if(service.lastListedAt,
                       [at](const auto &item) { return at - item.second > VersionRetention; });
--- a/tests/auto/gateway/tst_streamorigins.cpp
+++ b/tests/auto/gateway/tst_streamorigins.cpp
@@ -409,6 +409,16 @@
     EXPECT_EQ(fleet->rowNames(), (std::set<std::string>{"v1", "v2"}));
 }
 
+TEST(StreamOrigins, WritesWithoutAnAnswerProveNothing)
+{
+    const auto fleet = makeCalmFleet(2);
+    fleet->nodes[0]->client->fault = Fault::WritesLost;
+    fleet->nodes[0]->origins->setListedVersions({{service, {"v1", "v2"}}});
+    fleet->run(10s);
+    EXPECT_EQ(fleet->rowNames(), std::set<std::string>{"v1"});
+    EXPECT_FALSE(fleet->begin(0, "a", "v2"));
+}
+
 TEST(StreamOrigins, AnswersOfWritesThatAreLostProveNothing)
 {
     const auto fleet = makeCalmFleet(2);
@@ -996,7 +1006,7 @@
             break;
         case 3:
         case 4:
-            fleet.nodes[node]->client->fault = static_cast<Fault>(pick(5));
+            fleet.nodes[node]->client->fault = static_cast<Fault>(pick(6));
             break;
         case 5:
         case 6:
--- a/tests/auto/shared/virtualrowstoreclient.h
+++ b/tests/auto/shared/virtualrowstoreclient.h
@@ -15,6 +15,7 @@
         TurnedAway, ///< Refused at once, without an effect.
         Cut, ///< No effect and no answer.
         AnswersLost, ///< Effect, but no answer.
+        WritesLost, ///< Writes have no effect and no answer; reads are answered.
         WritesLate, ///< Writes get no answer and are tried again later; reads are cut.
     };
 
@@ -84,7 +85,9 @@
     {
         Utils::Result<Value, Gateway::StoreError> result =
             tl::unexpected(Gateway::StoreError::Unavailable);
-        if (fault == Fault::None || fault == Fault::AnswersLost)
+        const bool isRead = std::is_same_v<Value, Gateway::RowSet>;
+        const bool isServed = fault == Fault::None || (isRead && fault == Fault::WritesLost);
+        if (isServed || fault == Fault::AnswersLost)
             result = action();
         if constexpr (std::is_same_v<Value, Gateway::RowSet>) {
             if (result) {
@@ -92,7 +95,7 @@
                     m_store.bytes += row.value.size() + row.key.size();
             }
         }
-        const bool isAnswered = fault == Fault::None || fault == Fault::TurnedAway;
+        const bool isAnswered = isServed || fault == Fault::TurnedAway;
         if (!isAnswered)
             result = tl::unexpected(Gateway::StoreError::Unavailable);
         m_scheduler.callAfter(isAnswered ? answerTime : clientTimeout,
