--- a/src/libs/gateway/connectionpool.cpp
+++ b/src/libs/gateway/connectionpool.cpp
@@ -48,7 +48,7 @@
     auto http = Http1::ClientConnection::connect(m_reactor, address);
     if (!http)
         return tl::unexpected(http.error());
-    return BackendConnection{std::move(*http), {}, now};
+    return BackendConnection{std::move(*http), {}, m_reactor.now()};
 }
 
 auto ConnectionPool::release(const std::string &backendId, BackendConnection connection,
