--- a/tests/auto/platform/soak/attempt.h
+++ b/tests/auto/platform/soak/attempt.h
@@ -3,6 +3,7 @@
 #include <utils/timepoint.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace Soak {
@@ -10,6 +11,9 @@
 /// Kinds of requests, by whether and how they may be repeated.
 enum class RequestKind { Repeatable, AtMostOnce, Stream, ResumableStream };
 
+/// Ids of a stream's events are 1 to this.
+constexpr std::int64_t EventsOfStream = 5;
+
 /// One request, as sent by a caller.
 struct Attempt
 {
@@ -23,6 +27,9 @@
     int tokens = 0;
     std::string route; ///< Prefix of its route.
     bool isForbidden = false; ///< Whether no configuration ever allows it.
+    std::string model; ///< With its adapter; drawn when it is sent.
+    std::string resumedAttempt; ///< That brought the stream's first event; empty for a new stream.
+    std::int64_t lastEvent = 0; ///< Of the stream, that the caller has.
     Utils::TimePoint sentAt;
 };
 
@@ -35,6 +42,8 @@
     std::string body;
     std::string server; ///< That signed the answer; empty if none did.
     bool callerLeft = false; ///< The caller closed the connection itself.
+    bool lostLink = false; ///< The caller's own link failed, so that it left.
+    bool wasSilent = false; ///< The caller left as nothing came for too long.
 };
 
 } // namespace Soak
--- a/tests/auto/platform/soak/faultscript.cpp
+++ b/tests/auto/platform/soak/faultscript.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <map>
 
 namespace Soak {
 
@@ -20,7 +21,7 @@
 
 using Kind = FaultScript::Kind;
 
-constexpr std::array<const char *, 42> kindNames = {"gateway freeze",
+constexpr std::array<const char *, 45> kindNames = {"gateway freeze",
                                                     "gateway kill",
                                                     "gateway stop",
                                                     "gateway hangup",
@@ -61,7 +62,12 @@
                                                     "key dropped",
                                                     "engine names limit",
                                                     "store back from copy",
-                                                    "all gateways restart"};
+                                                    "all gateways restart",
+                                                    "engine released",
+                                                    "engine upgraded same name",
+                                                    "engine version unlisted"};
+/// What rows name in place of a software version; the duration of the fault selects one.
+constexpr std::array<const char *, 4> oddVersions = {"", "2", "null", R"(["v1"])"};
 /// Limits in requests per second; the duration of the fault selects one.
 constexpr std::array<const char *, 5> rateLimits = {"0.5", "1", "2.3", "5", "20"};
 /// Kinds that `draw` picks from.
@@ -87,6 +93,8 @@
 constexpr double ThrottledMbitPerSecond = 2;
 /// Time until the list of servers drops a server that ended without withdrawing its entry.
 constexpr milliseconds EntryExpiryTime(3600);
+/// From the end of an engine until it starts again under its id.
+constexpr milliseconds UpgradeTime(150);
 /// An engine that is leaving continues to serve for this time.
 constexpr milliseconds DrainTime(5000);
 
@@ -118,6 +126,12 @@
     return kind >= Kind::NewConfiguration && kind <= Kind::KeyWithdrawn;
 }
 
+/// Faults with a new version of an engine's software.
+auto isVersionFault(Kind kind) -> bool
+{
+    return kind >= Kind::EngineReleased && kind <= Kind::EngineVersionUnlisted;
+}
+
 auto isLinkFault(Kind kind) -> bool
 {
     return kind >= Kind::EngineLinkDelay && kind <= Kind::EngineLinkSilence;
@@ -259,6 +273,89 @@
     return steps;
 }
 
+auto FaultScript::drawVersions(std::uint64_t seed, milliseconds length, size_t gateways,
+                               size_t engines) -> std::vector<Step>
+{
+    constexpr std::uint64_t seedOffset = 0x350000;
+    constexpr int minDrainMs = 600;
+    constexpr int drainSpreadMs = 1500;
+    constexpr int minGapMs = 100;
+    constexpr int gapSpreadMs = 800;
+    constexpr int minPauseMs = 1500;
+    constexpr int pauseSpreadMs = 3000;
+    constexpr int minFaultMs = 300;
+    constexpr int faultSpreadMs = 1700;
+    constexpr size_t maxCompanies = 3;
+    enum class Company {
+        SecondRelease,
+        LateRows,
+        Unlisted,
+        AllKilled,
+        KilledInTurn,
+        CutOff,
+        Crashes,
+        CutStreams
+    };
+    constexpr std::uint64_t companies = 8;
+    std::mt19937_64 random(seed + seedOffset);
+    std::vector<Step> steps;
+    const auto drawMs = [&random](int spread) { return milliseconds(random() % spread); };
+    const auto faultTime = [&] { return milliseconds(minFaultMs) + drawMs(faultSpreadMs); };
+    const auto addRelease = [&](milliseconds at) {
+        const size_t first = random() % engines;
+        const size_t count = random() % 3 == 0 ? engines : engines / 2;
+        for (size_t i = 0; i < count; ++i) {
+            steps.push_back({at, Kind::EngineReleased, (first + i) % engines,
+                             milliseconds(minDrainMs) + drawMs(drainSpreadMs)});
+            at += milliseconds(minGapMs) + drawMs(gapSpreadMs);
+        }
+        return at;
+    };
+    const auto addToEach = [&](Kind kind, size_t targets, milliseconds at, int spreadMs) {
+        for (size_t target = random() % 2; target < targets; target += 1 + random() % 2)
+            steps.push_back({at + drawMs(spreadMs), kind, target, faultTime()});
+    };
+    for (milliseconds at = drawMs(pauseSpreadMs); at < length;
+         at += milliseconds(minPauseMs) + drawMs(pauseSpreadMs)) {
+        const milliseconds from = at;
+        at = addRelease(at);
+        const auto spreadMs = static_cast<int>((at - from).count() + minFaultMs);
+        for (auto more = 1 + random() % maxCompanies; more > 0; --more) {
+            const milliseconds fault = from + drawMs(spreadMs);
+            switch (static_cast<Company>(random() % companies)) {
+            case Company::SecondRelease:
+                at = std::max(at, addRelease(fault));
+                break;
+            case Company::LateRows:
+                addToEach(Kind::EngineUpgradedUnderItsId, engines, fault, spreadMs);
+                break;
+            case Company::Unlisted:
+                addToEach(Kind::EngineVersionUnlisted, engines, fault, spreadMs);
+                break;
+            case Company::AllKilled:
+                steps.push_back({fault, Kind::AllGatewaysRestart, 0, faultTime()});
+                break;
+            case Company::KilledInTurn:
+                addToEach(Kind::GatewayKill, gateways, fault, spreadMs);
+                break;
+            case Company::CutOff:
+                addToEach(Kind::GatewayStoreSilence, gateways, fault, spreadMs);
+                break;
+            case Company::Crashes:
+                addToEach(Kind::EngineCrashSameName, engines, fault, spreadMs);
+                break;
+            case Company::CutStreams:
+                addToEach(Kind::EngineCutsStreams, engines, fault, spreadMs);
+                break;
+            }
+        }
+    }
+    std::erase_if(steps, [&](const Step &step) { return step.at >= length; });
+    for (Step &step : steps)
+        step.duration = std::min(step.duration, length - step.at);
+    return steps;
+}
+
 auto FaultScript::drawGrowth(std::uint64_t seed, milliseconds length, milliseconds faults,
                              size_t gateways) -> std::vector<Step>
 {
@@ -348,6 +445,28 @@
         });
     }
     noteDisturbances();
+    noteServingEngines();
+}
+
+auto FaultScript::noteServingEngines() -> void
+{
+    std::map<std::string, int> serving;
+    const auto &engines = m_deployment.engines();
+    for (size_t i = 0; i < m_deployment.modelEngines(); ++i) {
+        const Emulator::EmulatedEngine &server = *engines[i].server;
+        const bool isDisturbed =
+            std::any_of(m_active.begin(), m_active.end(), [&](const Step &step) {
+                return step.target == i && (isEngineFault(step.kind) || isVersionFault(step.kind));
+            });
+        const bool serves = engines[i].isUp && server.isListedTruly()
+            && server.listedState() == "ready" && !isDisturbed;
+        serving[server.softwareVersion] += serves ? 1 : 0;
+    }
+    const TimePoint now = m_deployment.reactor().now();
+    for (const auto &[version, count] : serving)
+        m_deployment.checker().noteServing(version, count, now);
+    m_deployment.reactor().callAfter(TickInterval,
+                                     [self = shared_from_this()] { self->noteServingEngines(); });
 }
 
 /// Marks everything that an active fault affects as disturbed, until the faults have ended.
@@ -384,6 +503,12 @@
         return beginStoreFault(step);
     if (isEngineFault(step.kind))
         return beginEngineFault(step);
+    if (step.kind == Kind::EngineReleased)
+        return releaseEngine(step);
+    if (step.kind == Kind::EngineUpgradedUnderItsId)
+        return upgradeEngineUnderItsId(step);
+    if (step.kind == Kind::EngineVersionUnlisted)
+        return unlistVersion(step);
     if (step.kind == Kind::EngineNamesLimit) {
         const auto choice = static_cast<size_t>(step.duration.count()) % rateLimits.size();
         m_deployment.engines().at(step.target).server->behaviour.rateLimit = rateLimits.at(choice);
@@ -537,6 +662,67 @@
     }
 }
 
+/// The engine drains, and one with the next version of the software takes its place.
+auto FaultScript::releaseEngine(const Step &step) -> void
+{
+    SoakDeployment::Engine &engine = m_deployment.engines().at(step.target);
+    if (!engine.isUp)
+        return;
+    const std::string id = engine.server->id();
+    engine.server->announce("draining");
+    m_deployment.checker().noteLeaving(id, m_deployment.reactor().now());
+    m_deployment.reactor().callAfter(step.duration,
+                                     [self = shared_from_this(), &engine, id, index = step.target] {
+                                         if (engine.server->id() != id || !engine.isUp)
+                                             return;
+                                         engine.server->withdraw();
+                                         engine.server->crash();
+                                         self->m_deployment.upgradeEngine(index);
+                                         self->m_deployment.replaceEngine(index);
+                                     });
+}
+
+/// The engine starts again under its id with the next version of the software; its row follows at
+/// the end of the fault.
+auto FaultScript::upgradeEngineUnderItsId(const Step &step) -> void
+{
+    SoakDeployment::Engine &engine = m_deployment.engines().at(step.target);
+    if (!engine.isUp)
+        return;
+    const std::string id = engine.server->id();
+    engine.isUp = false;
+    engine.server->crash();
+    engine.server->announcesModels = false;
+    m_deployment.upgradeEngine(step.target);
+    m_deployment.reactor().callAfter(UpgradeTime, [&engine, id] {
+        if (engine.server->id() != id || engine.isUp)
+            return;
+        engine.server->restart(id, false);
+        engine.isUp = true;
+    });
+    m_deployment.reactor().callAfter(UpgradeTime + step.duration, [&engine, id] {
+        engine.server->announcesModels = true;
+        if (engine.server->id() == id && engine.isUp)
+            engine.server->announce();
+    });
+}
+
+/// The engine's row names no software version, or something that is none.
+auto FaultScript::unlistVersion(const Step &step) -> void
+{
+    SoakDeployment::Engine &engine = m_deployment.engines().at(step.target);
+    if (!engine.isUp)
+        return;
+    const auto choice = static_cast<size_t>(step.duration.count()) % oddVersions.size();
+    engine.server->listedVersion = oddVersions.at(choice);
+    engine.server->announce(engine.server->listedState());
+    m_deployment.reactor().callAfter(step.duration, [&engine] {
+        engine.server->listedVersion.reset();
+        if (engine.isUp)
+            engine.server->announce(engine.server->listedState());
+    });
+}
+
 auto FaultScript::end(const Step &step) -> void
 {
     SoakDeployment::Gateway *gateway =
@@ -613,7 +799,7 @@
     case Kind::EngineLinkSilence:
         return engine.wire->setSilence(StandInWire::Silence::None);
     default:
-        server.behaviour = {};
+        server.behaviour = engine.usualBehaviour;
     }
 }
 
--- a/tests/auto/platform/soak/faultscript.h
+++ b/tests/auto/platform/soak/faultscript.h
@@ -61,6 +61,9 @@
         EngineNamesLimit,
         StoreBackFromCopy,
         AllGatewaysRestart,
+        EngineReleased,
+        EngineUpgradedUnderItsId,
+        EngineVersionUnlisted,
     };
     struct Step
     {
@@ -94,6 +97,12 @@
     /// restart of all gateways. The operator changes the configuration before, during and after.
     static auto drawCopies(std::uint64_t seed, std::chrono::milliseconds length, size_t gateways,
                            size_t engines) -> std::vector<Step>;
+    /// Draws releases of newer software versions on the first `engines`, one after the other, in
+    /// addition to other faults: also through three versions, under an id whose row is late, with
+    /// rows that name no version, and beside gateways that are killed at once, one by one, or cut
+    /// off, crashes and streams that are cut.
+    static auto drawVersions(std::uint64_t seed, std::chrono::milliseconds length, size_t gateways,
+                             size_t engines) -> std::vector<Step>;
     static auto mayAccompanyGrowth(std::uint64_t seed, const Step &step, size_t gateways) -> bool;
     /// A target that stands for the gateway that holds the placement lease when the fault begins.
     static constexpr size_t HolderTarget = SIZE_MAX;
@@ -109,6 +118,9 @@
     auto beginStoreFault(const Step &step) -> void;
     auto beginCopy(const Step &step) -> void;
     auto beginEngineFault(const Step &step) -> void;
+    auto releaseEngine(const Step &step) -> void;
+    auto upgradeEngineUnderItsId(const Step &step) -> void;
+    auto unlistVersion(const Step &step) -> void;
     auto end(const Step &step) -> void;
     auto beginOperatorAction(const Step &step) -> void;
     auto endEngineFault(const Step &step) -> void;
@@ -117,6 +129,8 @@
     auto restartGateway(size_t index) -> void;
     auto awaitStop(size_t index, Utils::TimePoint deadline) -> void;
     auto noteDisturbances() -> void;
+    /// Tells the checker how many engines of each software version serve without a fault.
+    auto noteServingEngines() -> void;
 
     SoakDeployment &m_deployment;
     std::vector<Step> m_steps;
--- a/tests/auto/platform/soak/invariantchecker.cpp
+++ b/tests/auto/platform/soak/invariantchecker.cpp
@@ -1,5 +1,7 @@
 #include "invariantchecker.h"
 
+#include "streamevents.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -34,6 +36,11 @@
     return status >= 200 && status < 300;
 }
 
+auto isStream(RequestKind kind) -> bool
+{
+    return kind == RequestKind::Stream || kind == RequestKind::ResumableStream;
+}
+
 } // namespace
 
 InvariantChecker::InvariantChecker(size_t gateways, double weightsMb,
@@ -135,6 +142,8 @@
     record.endedAt = now;
     record.status = end.status;
     ++m_outcomes[end.callerLeft ? "left" : std::to_string(end.status)];
+    if (isStream(record.attempt.kind))
+        checkStream(record, end, now);
     if (end.callerLeft)
         return;
     const Attempt &attempt = record.attempt;
@@ -216,21 +225,73 @@
         return;
     if (!end.isSigned)
         reportViolation("MIXED", attempt.id + " succeeded without an engine's signature", now);
-    const bool isPlain =
-        attempt.kind == RequestKind::Repeatable || attempt.kind == RequestKind::AtMostOnce;
-    if (isPlain) {
+    if (!isStream(attempt.kind)) {
         if (end.body != "answer to " + attempt.id)
             reportViolation("MIXED", attempt.id + " got the body \"" + end.body + '"', now);
         return;
     }
-    std::ostringstream expected;
-    constexpr int events = 5;
-    for (int i = 1; i <= events; ++i)
-        expected << "id: " << i << "\ndata: token of " << attempt.id << "\n\n";
-    if (end.body != expected.str())
+    // Which versions an answer may hold is checked for all streams, whole or not.
+    const auto events = parseEvents(end.body).value_or(std::vector<StreamEvent>());
+    std::string expected;
+    for (const StreamEvent &event : events) {
+        const auto id = attempt.lastEvent + 1 + (&event - events.data());
+        expected += StreamEvent{id, attempt.id, event.version}.toText();
+    }
+    const auto expectedEvents = static_cast<size_t>(EventsOfStream - attempt.lastEvent);
+    if (end.body != expected || events.size() != expectedEvents)
         reportViolation("ORDER", attempt.id + " got the stream \"" + end.body + '"', now);
 }
 
+auto InvariantChecker::checkStream(const Record &record, const AttemptEnd &end, TimePoint now)
+    -> void
+{
+    const Attempt &attempt = record.attempt;
+    const auto events = isSuccess(end.status) ? parseEvents(end.body) : std::vector<StreamEvent>();
+    if (!events)
+        return reportViolation("ORDER", attempt.id + " got the stream \"" + end.body + '"', now);
+    std::vector<StreamVersionChecker::Event> versions;
+    for (const StreamEvent &event : *events) {
+        if (event.attempt != attempt.id)
+            reportViolation("MIXED", attempt.id + " got an event of " + event.attempt, now);
+        versions.push_back({event.id, event.version});
+    }
+    const std::string &stream =
+        attempt.resumedAttempt.empty() ? attempt.id : attempt.resumedAttempt;
+    for (const std::string &violation : m_streamVersions.noteTry(stream, versions))
+        reportViolation("ORDER",
+                        violation + " (" + attempt.id + " at gateway "
+                            + std::to_string(attempt.gateway) + ")",
+                        now);
+    countStream(record, end, !events->empty(), now);
+}
+
+/// Counts resumable streams that callers asked for at undisturbed gateways.
+auto InvariantChecker::countStream(const Record &record, const AttemptEnd &end, bool hasEvents,
+                                   TimePoint now) -> void
+{
+    const Attempt &attempt = record.attempt;
+    const bool isOwed = attempt.customer != "island" && attempt.key == "key-county";
+    const bool hasLeft = end.callerLeft && !end.wasSilent && !hasEvents;
+    if (attempt.kind != RequestKind::ResumableStream || !isOwed || hasLeft
+        || !isStable(attempt.gateway, attempt.sentAt) || !isStable(attempt.gateway, now))
+        return;
+    if (attempt.resumedAttempt.empty())
+        return m_streamVersions.noteNewStream(hasEvents);
+    if (!m_records.at(attempt.resumedAttempt).hasUnknownVersion)
+        m_streamVersions.noteTakeUp(attempt.resumedAttempt, attempt.sentAt, hasEvents);
+}
+
+auto InvariantChecker::noteServing(const std::string &version, int engines, TimePoint now) -> void
+{
+    m_streamVersions.noteServing(version, engines, now);
+}
+
+auto InvariantChecker::checkTotals(TimePoint now) -> void
+{
+    for (const std::string &violation : m_streamVersions.violations())
+        reportViolation("LOST", violation, now);
+}
+
 auto InvariantChecker::checkTimeliness(const Record &record, const AttemptEnd &end, TimePoint now)
     -> void
 {
@@ -260,6 +321,7 @@
     Record &record = found->second;
     const Attempt &attempt = record.attempt;
     ++record.sends;
+    record.hasUnknownVersion |= arrival.hasRun && !engine.isListedTruly();
     if (arrival.target != attempt.target || arrival.body != "body")
         reportViolation("UNASKED", attempt.id + " was modified by the gateway", now);
     if (arrival.fields.has("Authorization"))
@@ -442,7 +504,8 @@
          << ", after removals: " << m_checkedRemoved
          << "; longest denial at undisturbed gateways: " << Utils::toSeconds(m_longestDenial)
          << " s; orders: " << m_orderCount << ", changes of holder: " << m_changesOfHolder
-         << ", copies: " << m_copies.size()
+         << ", copies: " << m_copies.size() << "; " << m_streamVersions.describeShares()
+         << ", joined from two versions: " << m_streamVersions.joined()
          << "; highest use of a server's limit: " << m_rateLimits.highestUse();
     return text.str();
 }
--- a/tests/auto/platform/soak/invariantchecker.h
+++ b/tests/auto/platform/soak/invariantchecker.h
@@ -4,6 +4,7 @@
 #include "configurationhistory.h"
 
 #include "../../shared/ratelimitchecker.h"
+#include "../../shared/streamversionchecker.h"
 
 #include <platform/emulator/emulatedengine.h>
 #include <utils/timepoint.h>
@@ -46,6 +47,8 @@
                    const Emulator::EmulatedEngine::Order &order, Utils::TimePoint now) -> void;
     /// From `now` on, the list of servers shows that the engine is leaving or removed.
     auto noteLeaving(const std::string &engine, Utils::TimePoint now) -> void;
+    /// From `now` on, this many engines with that software version serve without a fault.
+    auto noteServing(const std::string &version, int engines, Utils::TimePoint now) -> void;
     /// Routes and keys that the operator adds and removes.
     auto history() -> ConfigurationHistory & { return m_history; }
     auto noteProcessStarted(size_t gateway, Utils::TimePoint now) -> void;
@@ -56,6 +59,8 @@
     /// over quota.
     auto servedShare(Utils::TimePoint from) const -> double;
     auto summary() const -> std::string;
+    /// Checks the rules that count over the whole soak.
+    auto checkTotals(Utils::TimePoint now) -> void;
     auto violations() const -> const std::vector<std::string> & { return m_violations; }
 
 private:
@@ -68,6 +73,7 @@
         bool hasEnded = false;
         Utils::TimePoint endedAt;
         bool isReportedNotRun = false;
+        bool hasUnknownVersion = false; ///< Ran on an engine whose row doesn't name its version.
     };
     struct Quota
     {
@@ -116,6 +122,9 @@
     auto checkRateLimit(const Emulator::EmulatedEngine &engine, size_t gateway,
                         Utils::TimePoint now) -> void;
     auto checkQuota(const Attempt &attempt, Utils::TimePoint now) -> void;
+    auto checkStream(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
+    auto countStream(const Record &record, const AttemptEnd &end, bool hasEvents,
+                     Utils::TimePoint now) -> void;
     auto checkTimeliness(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
 
     double m_weightsMb;
@@ -135,6 +144,7 @@
     std::vector<NewestEffect> m_newestEffects; ///< By gateway, of its present process.
     std::vector<Copy> m_copies;
     RateLimitChecker m_rateLimits;
+    StreamVersionChecker m_streamVersions;
     std::map<std::string, std::string> m_namedLimits; ///< By engine and incarnation.
     std::map<std::string, std::string> m_incarnations; ///< Newest of each engine.
     std::map<std::string, int> m_outcomes;
--- a/tests/auto/platform/soak/main.cpp
+++ b/tests/auto/platform/soak/main.cpp
@@ -39,6 +39,7 @@
     bool hasGrowth = false;
     bool hasLimits = false;
     bool hasCopies = false;
+    bool hasVersions = false;
     std::string program;
     std::string folder;
 };
@@ -68,14 +69,17 @@
     options.hasGrowth = line.value("growth", "no") == "yes";
     options.hasLimits = line.value("limits", "no") == "yes";
     options.hasCopies = line.value("copies", "no") == "yes";
+    options.hasVersions = line.value("versions", "no") == "yes";
     options.program = line.value("program", "build/bin/acacia-gateway");
     options.folder = line.value("folder");
     return options;
 }
 
-auto drawSteps(const Options &options, size_t gateways, size_t engines)
+auto drawSteps(const Options &options, Soak::SoakDeployment &deployment)
     -> std::vector<Soak::FaultScript::Step>
 {
+    const size_t gateways = deployment.gateways().size();
+    const size_t engines = deployment.engines().size();
     auto steps = Soak::FaultScript::draw(options.seed, options.faults, gateways, engines);
     if (options.hasSlowGateways) {
         const auto slow =
@@ -91,6 +95,11 @@
             Soak::FaultScript::drawCopies(options.seed, options.faults, gateways, engines);
         steps.insert(steps.end(), copies.begin(), copies.end());
     }
+    if (options.hasVersions) {
+        const auto versions = Soak::FaultScript::drawVersions(options.seed, options.faults,
+                                                              gateways, deployment.modelEngines());
+        steps.insert(steps.end(), versions.begin(), versions.end());
+    }
     if (!options.hasGrowth)
         return steps;
     std::erase_if(steps, [&](const auto &step) {
@@ -104,8 +113,8 @@
 
 auto runSoak(Net::Reactor &reactor, const Options &options) -> int
 {
-    auto created =
-        Soak::SoakDeployment::create(reactor, options.program, options.folder, options.gateways);
+    auto created = Soak::SoakDeployment::create(reactor, options.program, options.folder,
+                                                options.gateways, options.hasVersions);
     if (!created) {
         std::printf("cannot set up the deployment: %s\n", created.error().c_str());
         return App::ExitCode::BadUsage;
@@ -129,14 +138,13 @@
     callers.reserve(static_cast<size_t>(options.callers));
     for (int i = 0; i < options.callers; ++i)
         callers.push_back(std::make_shared<Soak::SoakCaller>(
-            Soak::SoakCaller::Environment{reactor, deployment.checker(), pickGateway,
-                                          options.hasGrowth || options.hasCopies,
-                                          [&deployment] { return deployment.isBurstActive(); }},
+            Soak::SoakCaller::Environment{
+                reactor, deployment.checker(), pickGateway, options.hasGrowth || options.hasCopies,
+                [&deployment] { return deployment.isBurstActive(); }, options.hasVersions},
             i, options.seed * 1000 + static_cast<std::uint64_t>(i)));
     if (options.hasGrowth)
         deployment.limitGatewayResources(options.seed);
-    const auto steps =
-        drawSteps(options, deployment.gateways().size(), deployment.engines().size());
+    const auto steps = drawSteps(options, deployment);
     for (const auto &step : steps)
         std::printf("%s\n", Soak::FaultScript::describe(step).c_str());
     const auto script = std::make_shared<Soak::FaultScript>(deployment, steps);
@@ -152,10 +160,12 @@
         for (const auto &caller : callers)
             caller->stop();
     });
-    constexpr seconds lastAnswers(4);
+    // Callers that take streams up wait for up to 8 s for an answer.
+    const seconds lastAnswers(options.hasVersions ? 10 : 4);
     reactor.callAfter(recoveredAt + MeasuredTime + lastAnswers, [&] { reactor.stop(); });
     reactor.run();
     deployment.checkProcesses();
+    deployment.checker().checkTotals(reactor.now());
 
     const double served = deployment.checker().servedShare(measuredFrom);
     std::printf("%s\nserved after recovery: %.3f\n", deployment.checker().summary().c_str(),
@@ -184,6 +194,7 @@
          {"growth", "yes|no", "Also use growing configurations and limited gateways"},
          {"limits", "yes|no", "Also use engines that name a limit on requests per second"},
          {"copies", "yes|no", "Also use a store that comes back from copies"},
+         {"versions", "yes|no", "Also use engines with several versions of their software"},
          {"callers", "N", "Callers, each with one request at a time"},
          {"program", "FILE", "The gateway's binary"},
          {"folder", "DIR", "For settings and logs of the gateways"}});
--- a/tests/auto/platform/soak/soakcaller.cpp
+++ b/tests/auto/platform/soak/soakcaller.cpp
@@ -1,6 +1,7 @@
 #include "soakcaller.h"
 
 #include "invariantchecker.h"
+#include "streamevents.h"
 
 #include <http1/clientconnection.h>
 #include <net/reactor.h>
@@ -12,8 +13,23 @@
 namespace {
 
 constexpr milliseconds RequestTimeout(1400);
-/// The caller gives up after this time; it is later than any gateway may answer.
-constexpr milliseconds MaxWait(3000);
+/// The caller gives up this long after the request's timeout; it is later than any gateway may
+/// answer.
+constexpr milliseconds ExtraWait(1600);
+/// Timeout of a resumable stream over all tries, if its caller takes it up.
+constexpr milliseconds StreamTimeout(8000);
+constexpr int MaxNextTries = 3;
+constexpr int MinNextTryPauseMs = 50;
+constexpr int NextTryPauseSpreadMs = 1200;
+/// No further try is planned with less time left.
+constexpr milliseconds MinTimeLeft(2000);
+/// Bound from the platform's documentation: callers leave a stream that pauses for this time.
+constexpr milliseconds MaxSilence(2000);
+constexpr int OtherGatewayPercent = 80;
+/// Share of the resumable streams during which the caller's own link fails, and when.
+constexpr int LostLinkPercent = 30;
+constexpr int MinLinkTimeMs = 150;
+constexpr int LinkTimeSpreadMs = 600;
 constexpr int MaxPauseMs = 150;
 constexpr int BurstPauseMs = 20;
 constexpr int ProbePercent = 25;
@@ -63,13 +79,19 @@
 
 auto SoakCaller::scheduleNext() -> void
 {
+    if (m_hasNextTry)
+        return scheduleAfter(milliseconds(MinNextTryPauseMs + m_random() % NextTryPauseSpreadMs));
     const int maxPauseMs = m_environment.isBurstActive() ? BurstPauseMs : MaxPauseMs;
-    m_environment.reactor.callAfter(milliseconds(1 + m_random() % maxPauseMs),
-                                    [weak = weak_from_this()] {
-                                        const auto self = weak.lock();
-                                        if (self && !self->m_isStopped)
-                                            self->sendNext();
-                                    });
+    scheduleAfter(milliseconds(1 + m_random() % maxPauseMs));
+}
+
+auto SoakCaller::scheduleAfter(milliseconds pause) -> void
+{
+    m_environment.reactor.callAfter(pause, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_isStopped)
+            self->sendNext();
+    });
 }
 
 auto SoakCaller::makeAttempt() -> Attempt
@@ -95,6 +117,8 @@
     case 3:
         attempt.kind = RequestKind::ResumableStream;
         attempt.target = "/batch/" + attempt.id;
+        if (m_environment.takesStreamsUp)
+            attempt.timeout = StreamTimeout;
         break;
     default:
         attempt.kind = RequestKind::Repeatable;
@@ -136,23 +160,50 @@
     return attempt;
 }
 
+auto SoakCaller::makeNextTry() -> Attempt
+{
+    Attempt attempt = m_attempt;
+    attempt.id = std::to_string(m_number) + '-' + std::to_string(++m_count);
+    attempt.timeout =
+        std::chrono::duration_cast<milliseconds>(m_deadline - m_environment.reactor.now());
+    return attempt;
+}
+
+auto SoakCaller::connect(bool isNextTry) -> bool
+{
+    disconnect();
+    auto [gateway, address] = m_environment.pickGateway(m_random);
+    constexpr int maxPicks = 4;
+    if (isNextTry && chance(OtherGatewayPercent)) {
+        for (int i = 0; i < maxPicks && gateway == m_gateway; ++i)
+            std::tie(gateway, address) = m_environment.pickGateway(m_random);
+    }
+    auto connection = Http1::ClientConnection::connect(m_environment.reactor, address);
+    if (!connection)
+        return false;
+    m_connection = std::move(*connection);
+    m_gateway = gateway;
+    return true;
+}
+
 auto SoakCaller::sendNext() -> void
 {
-    if (!m_connection || !m_connection->isReusable() || chance(NewConnectionPercent)) {
-        disconnect();
-        const auto [gateway, address] = m_environment.pickGateway(m_random);
-        auto connection = Http1::ClientConnection::connect(m_environment.reactor, address);
-        if (!connection)
+    const bool isNextTry = m_hasNextTry;
+    m_hasNextTry = false;
+    if (isNextTry || !m_connection || !m_connection->isReusable() || chance(NewConnectionPercent)) {
+        if (!connect(isNextTry))
             return scheduleNext();
-        m_connection = std::move(*connection);
-        m_gateway = gateway;
     }
-    const bool isProbe = m_environment.probesChanges && chance(ProbePercent);
-    Attempt attempt = isProbe ? makeProbe() : makeAttempt();
-    attempt.gateway = m_gateway;
-    attempt.sentAt = m_environment.reactor.now();
-    m_environment.checker.noteSent(attempt);
-    send(attempt);
+    const bool isProbe = !isNextTry && m_environment.probesChanges && chance(ProbePercent);
+    m_attempt = isNextTry ? makeNextTry() : isProbe ? makeProbe() : makeAttempt();
+    m_attempt.gateway = m_gateway;
+    m_attempt.sentAt = m_environment.reactor.now();
+    if (!isNextTry) {
+        m_tries = 0;
+        m_deadline = m_attempt.sentAt + m_attempt.timeout;
+    }
+    m_environment.checker.noteSent(m_attempt);
+    send(m_attempt);
 }
 
 auto SoakCaller::send(const Attempt &attempt) -> void
@@ -160,22 +211,26 @@
     m_openId = attempt.id;
     m_end = {};
     m_closesConnection = false;
-    std::string model;
     constexpr int models = 5;
     constexpr int adapters = 3;
     const bool usesModel =
         attempt.kind == RequestKind::Stream || attempt.kind == RequestKind::ResumableStream;
-    if (usesModel) {
-        model = "Model: m" + std::to_string(1 + m_random() % models);
+    if (usesModel && attempt.model.empty()) {
+        m_attempt.model = 'm' + std::to_string(1 + m_random() % models);
         if (chance(20))
-            model += "/a" + std::to_string(1 + m_random() % adapters);
-        model += "\r\n";
+            m_attempt.model += "/a" + std::to_string(1 + m_random() % adapters);
     }
+    std::string fields;
+    if (usesModel)
+        fields = "Model: " + m_attempt.model + "\r\n";
+    if (attempt.lastEvent > 0)
+        fields += "Last-Event-Id: " + std::to_string(attempt.lastEvent)
+            + "\r\nResumes: " + attempt.resumedAttempt + "\r\n";
     const std::string tokens = std::to_string(TokensEachWay);
     const std::string text = "POST " + attempt.target
         + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + attempt.id + "\r\nAuthorization: Bearer "
         + attempt.key + "\r\nDeadline-Ms: " + std::to_string(attempt.timeout.count()) + "\r\n"
-        + model + "Token-Count: " + tokens + ',' + tokens + "\r\nContent-Length: 4\r\n\r\nbody";
+        + fields + "Token-Count: " + tokens + ',' + tokens + "\r\nContent-Length: 4\r\n\r\nbody";
     const auto weak = weak_from_this();
     const std::string id = attempt.id;
     m_connection->call(text,
@@ -186,17 +241,74 @@
                             m_closesConnection = !head.keepAlive;
                             return true;
                         },
-                        [this](std::string_view data) { m_end.body += data; },
+                        [this](std::string_view data) {
+                            m_end.body += data;
+                            m_lastDataAt = m_environment.reactor.now();
+                        },
                         [weak, id](Http1::CallEnd how) {
                             if (const auto self = weak.lock())
                                 self->handleEnd(id, how == Http1::CallEnd::Complete);
                         }});
     const bool leavesEarly = chance(LeavingPercent);
-    const milliseconds wait = leavesEarly ? milliseconds(1 + m_random() % MaxPauseMs) : MaxWait;
+    const milliseconds wait =
+        leavesEarly ? milliseconds(1 + m_random() % MaxPauseMs) : attempt.timeout + ExtraWait;
     m_environment.reactor.callAfter(wait, [weak, id, leavesEarly] {
         if (const auto self = weak.lock())
             self->abandon(id, leavesEarly);
     });
+    m_lastDataAt = attempt.sentAt;
+    if (m_environment.takesStreamsUp && usesModel)
+        watchForSilence(id);
+    if (m_environment.takesStreamsUp && attempt.kind == RequestKind::ResumableStream
+        && chance(LostLinkPercent))
+        m_environment.reactor.callAfter(milliseconds(MinLinkTimeMs + m_random() % LinkTimeSpreadMs),
+                                        [weak, id] {
+                                            if (const auto self = weak.lock())
+                                                self->loseLink(id);
+                                        });
+}
+
+auto SoakCaller::loseLink(const std::string &id) -> void
+{
+    if (m_openId != id)
+        return;
+    m_end.lostLink = true;
+    abandon(id, true);
+}
+
+auto SoakCaller::watchForSilence(const std::string &id) -> void
+{
+    if (m_openId != id)
+        return;
+    const auto now = m_environment.reactor.now();
+    if (now - m_lastDataAt >= MaxSilence) {
+        m_end.wasSilent = true;
+        return abandon(id, true);
+    }
+    m_environment.reactor.callAfter(m_lastDataAt + MaxSilence - now, [weak = weak_from_this(), id] {
+        if (const auto self = weak.lock())
+            self->watchForSilence(id);
+    });
+}
+
+auto SoakCaller::planNextTry() -> void
+{
+    if (!m_environment.takesStreamsUp || m_attempt.kind != RequestKind::ResumableStream)
+        return;
+    constexpr int success = 200;
+    constexpr int serverError = 500;
+    const bool isAnswered = m_end.status != 0 && m_end.status != success;
+    const bool isComplete = m_end.status == success && m_end.isWhole;
+    const bool hasLeft = m_end.callerLeft && !m_end.wasSilent && !m_end.lostLink;
+    const auto events = m_end.status == success ? parseEvents(m_end.body) : std::nullopt;
+    if (events && !events->empty()) {
+        if (m_attempt.resumedAttempt.empty())
+            m_attempt.resumedAttempt = m_attempt.id;
+        m_attempt.lastEvent = events->back().id;
+    }
+    m_hasNextTry = !isComplete && !hasLeft && (!isAnswered || m_end.status >= serverError)
+        && m_attempt.lastEvent < EventsOfStream && ++m_tries <= MaxNextTries
+        && m_deadline - m_environment.reactor.now() > MinTimeLeft;
 }
 
 auto SoakCaller::handleEnd(const std::string &id, bool isWhole) -> void
@@ -206,6 +318,7 @@
     m_openId.clear();
     m_end.isWhole = isWhole;
     m_environment.checker.noteEnd(id, m_end, m_environment.reactor.now());
+    planNextTry();
     // This is called from a callback of the connection, which must not be deleted here.
     m_environment.reactor.callAfter(
         Utils::Duration::zero(),
@@ -226,6 +339,7 @@
     m_openId.clear();
     m_end.callerLeft = isIntended;
     m_environment.checker.noteEnd(id, m_end, m_environment.reactor.now());
+    planNextTry();
     disconnect();
     scheduleNext();
 }
--- a/tests/auto/platform/soak/soakcaller.h
+++ b/tests/auto/platform/soak/soakcaller.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -36,6 +37,8 @@
         /// Also sends requests with routes and keys that the operator adds and removes.
         bool probesChanges = false;
         std::function<bool()> isBurstActive;
+        /// Asks for the rest of resumable streams that broke off.
+        bool takesStreamsUp = false;
     };
 
     SoakCaller(Environment surroundings, int number, std::uint64_t seed);
@@ -49,11 +52,22 @@
 private:
     auto chance(int percent) -> bool;
     auto scheduleNext() -> void;
+    auto scheduleAfter(std::chrono::milliseconds pause) -> void;
     auto sendNext() -> void;
     auto makeAttempt() -> Attempt;
     /// Makes a request with a route or key that has been added or removed, or never existed.
     auto makeProbe() -> Attempt;
+    /// Makes the next try of a resumable stream, which goes on behind the last event received.
+    auto makeNextTry() -> Attempt;
+    /// Connects to a gateway, mostly to another one than the last try's; false if it can't.
+    auto connect(bool isNextTry) -> bool;
     auto send(const Attempt &attempt) -> void;
+    /// Prepares the next try of a resumable stream that has ended early, if there is one.
+    auto planNextTry() -> void;
+    /// Closes the connection as if the caller's own link had failed.
+    auto loseLink(const std::string &id) -> void;
+    /// Leaves if nothing has come for too long.
+    auto watchForSilence(const std::string &id) -> void;
     auto handleEnd(const std::string &id, bool isWhole) -> void;
     /// Closes the connection; `isIntended` is false if the caller gave up waiting for an answer.
     auto abandon(const std::string &id, bool isIntended) -> void;
@@ -69,6 +83,11 @@
     bool m_closesConnection = false; ///< The answer closes the connection.
     size_t m_gateway = 0;
     std::unique_ptr<Http1::ClientConnection> m_connection;
+    Attempt m_attempt; ///< Sent last.
+    bool m_hasNextTry = false; ///< The stream of `m_attempt` is asked for again.
+    int m_tries = 0; ///< Of the present stream, after the first.
+    Utils::TimePoint m_deadline; ///< Of the present stream, over all tries.
+    Utils::TimePoint m_lastDataAt;
 };
 
 } // namespace Soak
--- a/tests/auto/platform/soak/soakdeployment.cpp
+++ b/tests/auto/platform/soak/soakdeployment.cpp
@@ -22,6 +22,10 @@
 constexpr double ModelWeightsMb = 60000;
 constexpr int ModelCount = 5;
 constexpr double IslandTokensPerSecond = 300;
+/// Streams last long enough to be cut by faults of gateways and engines.
+constexpr std::chrono::milliseconds LongEventInterval(150);
+/// Time limit of routes with resumable streams whose callers take them up again.
+constexpr int LongTimeoutMs = 10000;
 /// Maximum number of added routes in one configuration.
 constexpr size_t MaxAddedRoutes = 2200;
 constexpr std::chrono::milliseconds CongestionCheckInterval(50);
@@ -35,6 +39,11 @@
     return "m" + std::to_string(number);
 }
 
+auto versionName(int number) -> std::string
+{
+    return "v" + std::to_string(number);
+}
+
 auto describeRoute(const std::string &prefix, const std::string &kind, const std::string &service,
                    bool isResumable, int attempts) -> json
 {
@@ -86,17 +95,14 @@
 SoakDeployment::~SoakDeployment() = default;
 
 auto SoakDeployment::create(Net::Reactor &reactor, const std::string &program,
-                            const std::string &folder, int gateways)
+                            const std::string &folder, int gateways, bool hasVersions)
     -> Utils::Result<std::unique_ptr<SoakDeployment>, std::string>
 {
     std::unique_ptr<SoakDeployment> deployment(new SoakDeployment(reactor, gateways));
+    deployment->m_hasVersions = hasVersions;
     deployment->putConfiguration();
-    for (const std::set<std::string> &models :
-         {std::set<std::string>{"m1", "m2"}, std::set<std::string>{"m3", "m4"},
-          std::set<std::string>{"m5"}}) {
-        if (const auto added = deployment->addEngine("lm", models); !added)
-            return tl::unexpected(added.error());
-    }
+    if (const auto added = deployment->addModelEngines(hasVersions); !added)
+        return tl::unexpected(added.error());
     constexpr int applicationServers = 3;
     for (int i = 0; i < applicationServers; ++i) {
         if (const auto added = deployment->addEngine("app", {}); !added)
@@ -164,6 +170,34 @@
     return {};
 }
 
+auto SoakDeployment::addModelEngines(bool hasVersions) -> Utils::Result<void, std::string>
+{
+    const int versions = hasVersions ? 2 : 1;
+    for (int version = 1; version <= versions; ++version) {
+        for (const std::set<std::string> &models :
+             {std::set<std::string>{"m1", "m2"}, std::set<std::string>{"m3", "m4"},
+              std::set<std::string>{"m5"}}) {
+            if (auto added = addEngine("lm", models); !added)
+                return added;
+            Engine &engine = m_engines.back();
+            engine.softwareVersion = version;
+            engine.server->softwareVersion = versionName(version);
+            if (hasVersions)
+                engine.usualBehaviour.eventInterval = LongEventInterval;
+            engine.server->behaviour = engine.usualBehaviour;
+            engine.server->announce();
+            ++m_modelEngines;
+        }
+    }
+    return {};
+}
+
+auto SoakDeployment::upgradeEngine(size_t index) -> void
+{
+    Engine &engine = m_engines.at(index);
+    engine.server->softwareVersion = versionName(++engine.softwareVersion);
+}
+
 auto SoakDeployment::replaceEngine(size_t index) -> void
 {
     Engine &engine = m_engines.at(index);
@@ -218,6 +252,8 @@
                    describeRoute("/file/", "unsafe", "app", false, 2),
                    describeRoute("/draft/", "streaming", "lm", false, 1),
                    describeRoute("/batch/", "streaming", "lm", true, 2)};
+    if (m_hasVersions)
+        routes.back()["timeoutMs"] = LongTimeoutMs;
     if (m_hasNewRoute)
         routes.push_back(describeRoute("/extra/", "safe", "app", false, 2));
     for (const std::string &prefix : m_addedRoutes)
--- a/tests/auto/platform/soak/soakdeployment.h
+++ b/tests/auto/platform/soak/soakdeployment.h
@@ -44,10 +44,14 @@
         std::unique_ptr<Emulator::EmulatedEngine> server;
         std::unique_ptr<StandIns::StandInWire> wire;
         bool isUp = true;
+        Emulator::EmulatedEngine::Behaviour usualBehaviour; ///< Without a fault.
+        int softwareVersion = 1;
     };
 
+    /// `hasVersions`: twice as many model engines, half of them with another software version.
     static auto create(Net::Reactor &reactor, const std::string &program, const std::string &folder,
-                       int gateways) -> Utils::Result<std::unique_ptr<SoakDeployment>, std::string>;
+                       int gateways, bool hasVersions)
+        -> Utils::Result<std::unique_ptr<SoakDeployment>, std::string>;
 
     ~SoakDeployment();
 
@@ -76,6 +80,10 @@
     auto isBurstActive() const -> bool { return m_isBurstActive; }
     /// Restarts the engine under another name, as a new engine at the same address.
     auto replaceEngine(size_t index) -> void;
+    /// The next start of the engine is with the next version of its software.
+    auto upgradeEngine(size_t index) -> void;
+    /// Engines of a service with models; they come first in `engines`.
+    auto modelEngines() const -> size_t { return m_modelEngines; }
     /// Index of the gateway that the store's row names as holder of the placement lease; 0 if none.
     auto leaseHolder() const -> size_t;
     /// Reports gateways that exited unexpectedly.
@@ -86,6 +94,7 @@
 
     auto addEngine(const std::string &service, const std::set<std::string> &models)
         -> Utils::Result<void, std::string>;
+    auto addModelEngines(bool hasVersions) -> Utils::Result<void, std::string>;
     auto freeAddress() -> Http1::SocketAddress;
     auto dropOldRoutes(size_t kept) -> void;
     auto noteCongestedLinks() -> void;
@@ -98,6 +107,8 @@
     int m_version = 0;
     std::set<std::uint16_t> m_reservedPorts; ///< Ports of gateways.
     int m_engineCount = 0;
+    size_t m_modelEngines = 0;
+    bool m_hasVersions = false;
     bool m_hasNewRoute = true;
     bool m_hasWithdrawnKey = true;
     std::deque<std::string> m_addedRoutes;
--- a/tests/e2e/soak.sh
+++ b/tests/e2e/soak.sh
@@ -5,7 +5,8 @@
 work=$(mktemp -d)
 failures=0 keep=no
 play() {
-    build/bin/acacia-soak --seed "$1" --seconds "$2" --slow "$3" --growth "$4" --limits "$5" --copies "$6" --folder "$work/$1" >"$work/$1.out" 2>&1
+    build/bin/acacia-soak --seed "$1" --seconds "$2" --slow "$3" --growth "$4" --limits "$5" --copies "$6" \
+        --versions "$7" --folder "$work/$1" >"$work/$1.out" 2>&1
     echo $? >"$work/$1.rc"
 }
 # True if all that a seed broke is the rule that KNOWN-RED.txt lists for it.
@@ -14,8 +15,8 @@
     rule=$(sed -n "s/^soak: $1 //p" KNOWN-RED.txt 2>/dev/null)
     [ -n "$rule" ] && grep -q '^BROKEN' "$2" && ! grep '^BROKEN' "$2" | grep -qv ", $rule: "
 }
-while read -r seed seconds slow growth limits copies _; do
-    [[ $seed =~ ^[0-9]+$ ]] && play "$seed" "$seconds" "$slow" "$growth" "$limits" "$copies" &
+while read -r seed seconds slow growth limits copies versions _; do
+    [[ $seed =~ ^[0-9]+$ ]] && play "$seed" "$seconds" "$slow" "$growth" "$limits" "$copies" "$versions" &
 done <tests/auto/platform/soak/seeds.txt
 wait
 for rc in "$work"/*.rc; do
