--- a/tests/auto/platform/soak/attempt.h
+++ b/tests/auto/platform/soak/attempt.h
@@ -14,6 +14,9 @@
 /// Ids of a stream's events are 1 to this.
 constexpr std::int64_t EventsOfStream = 5;
 
+/// Part of a prompt on which engines crash, if the soak uses one.
+constexpr const char *CrashingPart = "bad";
+
 /// One request, as sent by a caller.
 struct Attempt
 {
@@ -27,6 +30,7 @@
     int tokens = 0;
     std::string route; ///< Prefix of its route.
     bool isForbidden = false; ///< Whether no configuration ever allows it.
+    bool hasCrashingPart = false; ///< Its prompt has a part on which engines crash.
     std::string model; ///< With its adapter; drawn when it is sent.
     std::string resumedAttempt; ///< That brought the stream's first event; empty for a new stream.
     std::int64_t lastEvent = 0; ///< Of the stream, that the caller has.
--- a/tests/auto/platform/soak/invariantchecker.h
+++ b/tests/auto/platform/soak/invariantchecker.h
@@ -3,6 +3,7 @@
 #include "attempt.h"
 #include "configurationhistory.h"
 
+#include "../../shared/crashpartchecker.h"
 #include "../../shared/ratelimitchecker.h"
 #include "../../shared/streamversionchecker.h"
 
@@ -43,6 +44,8 @@
     auto noteArrival(const Emulator::EmulatedEngine &engine,
                      const Emulator::EmulatedEngine::Arrival &arrival, Utils::TimePoint now)
         -> void;
+    /// An engine crashes on a part of a prompt.
+    auto noteCrashOnPart(Utils::TimePoint now) -> void { m_crashParts.noteCrash(now); }
     auto noteOrder(const Emulator::EmulatedEngine &engine,
                    const Emulator::EmulatedEngine::Order &order, Utils::TimePoint now) -> void;
     /// From `now` on, the list of servers shows that the engine is leaving or removed.
@@ -125,6 +128,7 @@
     auto checkStream(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
     auto countStream(const Record &record, const AttemptEnd &end, bool hasEvents,
                      Utils::TimePoint now) -> void;
+    auto countSound(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
     auto checkTimeliness(const Record &record, const AttemptEnd &end, Utils::TimePoint now) -> void;
 
     double m_weightsMb;
@@ -145,6 +149,7 @@
     std::vector<Copy> m_copies;
     RateLimitChecker m_rateLimits;
     StreamVersionChecker m_streamVersions;
+    CrashPartChecker m_crashParts;
     std::map<std::string, std::string> m_namedLimits; ///< By engine and incarnation.
     std::map<std::string, std::string> m_incarnations; ///< Newest of each engine.
     std::map<std::string, int> m_outcomes;
--- a/tests/auto/platform/soak/soakcaller.cpp
+++ b/tests/auto/platform/soak/soakcaller.cpp
@@ -37,6 +37,7 @@
 constexpr int LeavingPercent = 3;
 constexpr int NewConnectionPercent = 10;
 constexpr int TokensEachWay = 10;
+constexpr int CrashingPartPercent = 3;
 
 /// The engine that signed the answer; empty if none did.
 auto serverOf(const Http1::Fields &fields) -> std::string
@@ -126,6 +127,10 @@
         break;
     }
     attempt.route = attempt.target.substr(0, attempt.target.find('/', 1) + 1);
+    const bool hasPrompt =
+        attempt.kind == RequestKind::Stream || attempt.kind == RequestKind::ResumableStream;
+    attempt.hasCrashingPart =
+        hasPrompt && m_environment.sendsCrashingParts && chance(CrashingPartPercent);
     // One customer exceeds its quota, and one key is withdrawn during the soak.
     constexpr int greedy = 4;
     constexpr int withdrawn = 9;
@@ -223,6 +228,10 @@
     std::string fields;
     if (usesModel)
         fields = "Model: " + m_attempt.model + "\r\n";
+    if (usesModel && m_environment.sendsCrashingParts)
+        fields += std::string("Prompt-Prefix: f1:4,")
+            + (attempt.hasCrashingPart ? std::string(CrashingPart) + ":3," : "") + 'u'
+            + std::to_string(m_number) + ":3\r\n";
     if (attempt.lastEvent > 0)
         fields += "Last-Event-Id: " + std::to_string(attempt.lastEvent)
             + "\r\nResumes: " + attempt.resumedAttempt + "\r\n";
--- a/tests/auto/platform/soak/soakcaller.h
+++ b/tests/auto/platform/soak/soakcaller.h
@@ -39,6 +39,8 @@
         std::function<bool()> isBurstActive;
         /// Asks for the rest of resumable streams that broke off.
         bool takesStreamsUp = false;
+        /// Names the parts of prompts, among them one on which engines crash.
+        bool sendsCrashingParts = false;
     };
 
     SoakCaller(Environment surroundings, int number, std::uint64_t seed);
--- a/tests/auto/platform/soak/soakdeployment.cpp
+++ b/tests/auto/platform/soak/soakdeployment.cpp
@@ -192,6 +192,21 @@
     return {};
 }
 
+auto SoakDeployment::enableCrashingPart() -> void
+{
+    for (size_t i = 0; i < m_modelEngines; ++i) {
+        Engine &engine = m_engines[i];
+        // A wire accepts connections also while its engine is down, which looks like a live one.
+        engine.server->advertisedAddress.reset();
+        engine.server->announce();
+        engine.usualBehaviour.crashingPart = CrashingPart;
+        engine.server->behaviour = engine.usualBehaviour;
+        engine.server->observer.onCrash = [this](const Emulator::EmulatedEngine &) {
+            m_checker->noteCrashOnPart(m_reactor.now());
+        };
+    }
+}
+
 auto SoakDeployment::upgradeEngine(size_t index) -> void
 {
     Engine &engine = m_engines.at(index);
--- a/tests/auto/platform/soak/soakdeployment.h
+++ b/tests/auto/platform/soak/soakdeployment.h
@@ -84,6 +84,8 @@
     auto upgradeEngine(size_t index) -> void;
     /// Engines of a service with models; they come first in `engines`.
     auto modelEngines() const -> size_t { return m_modelEngines; }
+    /// Model engines crash on `CrashingPart` from now on. They are reached without their wires.
+    auto enableCrashingPart() -> void;
     /// Index of the gateway that the store's row names as holder of the placement lease; 0 if none.
     auto leaseHolder() const -> size_t;
     /// Reports gateways that exited unexpectedly.
