A damaged row can't name a tenure that no later holder's token exceeds

The token of the tenure must not exceed that of the row's own version. RowWithAnImpossibleTenureOfAnEarlierEraIsWaitedFor failed before (taken after some milliseconds with that token) and passes now.

--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -19,6 +19,11 @@
 /// Number in the row of a tenure that begins with that row, whose version its writer doesn't know.
 constexpr std::uint64_t OwnVersion = 0;
 
+auto fenceOf(const Utils::StoreVersion &tenure) -> std::uint64_t
+{
+    return (static_cast<std::uint64_t>(tenure.era) << FenceEraShift) + tenure.number;
+}
+
 auto tenureToJson(const std::optional<Utils::StoreVersion> &tenure) -> json
 {
     const auto named = tenure.value_or(Utils::StoreVersion{{}, OwnVersion});
@@ -37,7 +42,9 @@
         Utils::fieldOr(*found, "number", std::numeric_limits<std::uint64_t>::max())};
     if (tenure.number == OwnVersion)
         return rowVersion;
-    return tenure <= rowVersion ? std::optional(tenure) : std::nullopt;
+    // Its token must be lower than that of each later holder, also if its era is earlier.
+    const bool isPossible = tenure <= rowVersion && fenceOf(tenure) <= fenceOf(rowVersion);
+    return isPossible ? std::optional(tenure) : std::nullopt;
 }
 
 } // namespace
@@ -172,8 +179,7 @@
 
 auto PlacementLease::fence() const -> std::uint64_t
 {
-    const auto tenure = m_lease.tenure();
-    return (static_cast<std::uint64_t>(tenure.era) << FenceEraShift) + tenure.number;
+    return fenceOf(m_lease.tenure());
 }
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_placementlease.cpp
+++ b/tests/auto/gateway/tst_placementlease.cpp
@@ -142,6 +142,21 @@
     }
 }
 
+// Guards against a token that is higher than that of a later holder (issue 35, ONE, review): a
+// damaged row names a tenure of an earlier era with a number that no store has reached.
+TEST_F(PlacementLeases, RowWithAnImpossibleTenureOfAnEarlierEraIsWaitedFor)
+{
+    store.era = Utils::StoreEra(1);
+    constexpr std::uint64_t outOfReach = std::uint64_t(1) << 40;
+    putRow({{"holder", "g1"},
+            {"address", Address},
+            {"era", 1},
+            {"tenure", {{"era", 0}, {"number", outOfReach}}}});
+    const auto lease = start();
+    EXPECT_GE(acquire(*lease), Timing.takeoverTimeout);
+    EXPECT_LT(lease->fence(), outOfReach);
+}
+
 // The process ends before it learns that it has become the holder.
 TEST_F(PlacementLeases, FirstWriteWithoutAnswerNamesItsTenure)
 {
