An entry that is removed after the store's return is dropped in time

EntryThatIsRemovedAfterTheStoresReturnIsDroppedInTime failed before (200 from the server that had left, two arrivals instead of one) and passes now, three times.

--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -68,16 +68,14 @@
     if (row.isRemoved) {
         m_unreadable.erase(row.key);
         const auto now = m_context.reactor.now();
-        const bool mayHaveExpired =
-            m_wasStoreLost && now - m_regainedAt < Constants::ExpiredEntryGracePeriod;
-        if (!mayHaveExpired)
+        const auto graceLeft = m_regainedAt + Constants::ExpiredEntryGracePeriod - now;
+        if (!m_wasStoreLost || graceLeft <= Utils::Duration::zero())
             return remove(row.key, false, row.version);
         m_expired.insert(row.key);
-        m_context.reactor.callAfter(Constants::ExpiredEntryGracePeriod,
-                                    [this, alive = m_alive, id = row.key] {
-                                        if (*alive)
-                                            removeIfStillExpired(id);
-                                    });
+        m_context.reactor.callAfter(graceLeft, [this, alive = m_alive, id = row.key] {
+            if (*alive)
+                removeIfStillExpired(id);
+        });
         return;
     }
     const auto server =
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -603,6 +603,30 @@
     EXPECT_EQ(first.arrivals().size(), before);
 }
 
+// Guards against requests to a server that has left (issue 35, DRAIN on a day of our own): its
+// entry was removed after the store's return, and was kept as long as if that had just been
+// noticed.
+TEST_F(Gateways, EntryThatIsRemovedAfterTheStoresReturnIsDroppedInTime)
+{
+    auto &engine = addEngine("i-1", "app");
+    startReadyGateway();
+    // A change ends the poll that is under way; the next one fails.
+    engine.announce();
+    store->setMode(EmulatedStore::Mode::Reset);
+    runUntil([] { return false; }, 1s);
+    store->setMode(EmulatedStore::Mode::Normal);
+    runUntil([] { return false; }, 600ms);
+    ASSERT_EQ(sendRequest(makeRequest("/file/x", "a1"))->status, 200);
+    // Changes that follow each other are read together, some time after the first one.
+    engine.announce();
+    runUntil([] { return false; }, 100ms);
+    engine.withdraw();
+    constexpr auto leaveNotice = 2000ms;
+    runUntil([] { return false; }, leaveNotice);
+    EXPECT_EQ(sendRequest(makeRequest("/file/x", "a2"))->status, 503);
+    EXPECT_EQ(engine.arrivals().size(), 1U);
+}
+
 TEST_F(Gateways, ServesRequestsWhileTheStoreIsUnavailable)
 {
     addEngine("i-1", "app");
