--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
+rm -f bin/case-*
 for case in */case.cc; do
     g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o "bin/case-${case%%/*}" "$case" standin/*.cc &
 done
--- a/review/standin/engine.cc
+++ b/review/standin/engine.cc
@@ -36,7 +36,9 @@
     , m_bornMs(unixMs())
     , m_models(m_description.models)
 {
+    m_port = m_description.port;
     m_listener = listenOn(m_description.ip, m_port);
+    m_record.note("engine " + id() + " starts with version " + version());
     writeEntry();
     std::thread([this] { acceptAll(); }).detach();
     std::thread([this] { beat(); }).detach();
@@ -61,7 +63,7 @@
     }
 }
 
-auto Engine::crash() -> void
+auto Engine::crash(bool startsAgain) -> void
 {
     if (!m_isUp.exchange(false))
         return;
@@ -73,6 +75,8 @@
             connection->end();
     }
     m_record.note("engine " + id() + " crashes");
+    if (startsAgain)
+        return;
     std::thread([this] {
         std::this_thread::sleep_for(EntryLifetime);
         m_store.remove("servers", id());
@@ -127,6 +131,12 @@
     return m_models.count(model) > 0;
 }
 
+auto Engine::isLoading() -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isBusy;
+}
+
 auto Engine::holdsModelOf(const Message &request) -> bool
 {
     const std::string named = request.field("Model");
--- a/review/standin/engine.hh
+++ b/review/standin/engine.hh
@@ -23,6 +23,7 @@
     struct Description
     {
         std::string ip;
+        int port = 0; ///< A free one if it is 0.
         std::string id;
         std::string service;
         std::string zone = "z1";
@@ -54,10 +55,13 @@
     auto id() const -> const std::string & { return m_description.id; }
     auto version() const -> const std::string & { return m_description.version; }
     auto isUp() const -> bool { return m_isUp; }
-    /// Ends all connections and stops; its entry expires after three heartbeats.
-    auto crash() -> void;
+    auto port() const -> int { return m_port; }
+    /// Ends all connections and stops; its entry expires after three heartbeats unless it starts
+    /// again under its id.
+    auto crash(bool startsAgain = false) -> void;
     auto running() const -> int { return m_running; }
     auto holds(const std::string &model) -> bool;
+    auto isLoading() -> bool;
     /// Orders to load more than the engine has room for; it crashes at each.
     auto overloads() const -> int { return m_overloads; }
 
--- a/review/standin/fleet.cc
+++ b/review/standin/fleet.cc
@@ -47,12 +47,14 @@
         gateway->keeper.join();
 }
 
-auto Fleet::add(const std::string &name, const std::string &ip, const std::string &zone) -> void
+auto Fleet::add(const std::string &name, const std::string &ip, const std::string &zone,
+                const std::string &storeAddress) -> void
 {
     auto gateway = std::make_unique<Gateway>();
     gateway->name = name;
     gateway->ip = ip;
     gateway->zone = zone;
+    gateway->storeAddress = storeAddress.empty() ? m_storeAddress : storeAddress;
     gateway->callerPort = freePort(ip);
     gateway->readinessPort = freePort(ip);
     gateway->peerPort = freePort(ip);
@@ -84,7 +86,7 @@
          << '\n'
          << R"(  "processorShare": 0.19, "firstStart": )" << (isFirstStart ? "true" : "false")
          << ",\n"
-         << R"(  "storeAddress": ")" << m_storeAddress << "\"\n}\n";
+         << R"(  "storeAddress": ")" << gateway.storeAddress << "\"\n}\n";
 }
 
 auto Fleet::start(Gateway &gateway) -> void
--- a/review/standin/fleet.hh
+++ b/review/standin/fleet.hh
@@ -31,8 +31,10 @@
           const std::string &storeAddress);
     ~Fleet();
 
-    /// Adds a machine with an address of its own and starts its gateway.
-    auto add(const std::string &name, const std::string &ip, const std::string &zone) -> void;
+    /// Adds a machine with an address of its own and starts its gateway; `storeAddress` is its way
+    /// to the store if it has one of its own.
+    auto add(const std::string &name, const std::string &ip, const std::string &zone,
+             const std::string &storeAddress = {}) -> void;
     /// Ends all gateways.
     auto stop() -> void;
     auto waitUntilReady(int seconds) -> bool;
@@ -49,6 +51,7 @@
         std::string name;
         std::string ip;
         std::string zone;
+        std::string storeAddress;
         int callerPort = 0;
         int readinessPort = 0;
         int peerPort = 0;
--- a/review/standin/http.hh
+++ b/review/standin/http.hh
@@ -61,7 +61,7 @@
     bool m_hasTimedOut = false;
 };
 
-/// Listens on a free port of `ip`; sets `port`.
+/// Listens on `port` of `ip`, or on a free one if it is 0; sets `port`.
 auto listenOn(const std::string &ip, int &port) -> int;
 /// Returns a port of `ip` that is free for TCP and UDP.
 auto freePort(const std::string &ip) -> int;
--- a/review/standin/store.hh
+++ b/review/standin/store.hh
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,10 @@
 
     auto ip() const -> const std::string & { return m_ip; }
     auto port() const -> int { return m_port; }
+    /// Opens a further port, so that calls of one machine can be told from those of others.
+    auto addPort() -> int;
+    /// The store answers 503 to all calls on that port, those that wait for changes included.
+    auto setRefusing(int port, bool refuses) -> void;
     /// Writes a row as the operator or an engine does.
     auto put(const std::string &table, const std::string &key, const std::string &value) -> void;
     auto remove(const std::string &table, const std::string &key) -> void;
@@ -39,7 +44,8 @@
     };
     using RowId = std::pair<std::string, std::string>;
 
-    auto serve(int fd) -> void;
+    auto serve(int fd, int port) -> void;
+    auto isRefusing(int port) -> bool;
     auto answer(const std::string &method, const std::string &target, const std::string &body,
                 int &status) -> nlohmann::json;
     auto transact(const nlohmann::json &call, int &status) -> nlohmann::json;
@@ -53,6 +59,7 @@
     int m_port = 0;
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    std::set<int> m_refusingPorts;
     std::map<RowId, Row> m_rows;
     std::vector<Change> m_history;
     std::uint64_t m_version = 0;
