--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -20,6 +20,15 @@
 constexpr std::chrono::milliseconds CallTimeout(800);
 /// Delay with which reports show the engine's state, and therefore the end of an order.
 constexpr std::chrono::milliseconds ReportLag(110);
+/// Time that an engine takes to drop a model without running requests. If it takes longer, the
+/// engine refuses the next order, and a report shows when it accepts one.
+constexpr std::chrono::milliseconds IdleUnloadTime(30);
+/// Added to the nominal duration of a load from a copy before the model is taken for loaded. A
+/// request that arrives earlier is refused as not run.
+constexpr std::chrono::milliseconds CopyLoadMargin(15);
+/// Time after which a report checks an order that was assumed to be done; reports are up to some
+/// hundred milliseconds old.
+constexpr std::chrono::milliseconds VerificationDelay(400);
 /// Interval between report requests while an order that should have finished is pending.
 constexpr std::chrono::milliseconds ReportInterval(100);
 /// Interval between report requests to an engine that doesn't answer.
@@ -52,6 +61,7 @@
 {
     m_context.reactor.cancel(m_callTimer);
     m_context.reactor.cancel(m_wakeTimer);
+    m_context.reactor.cancel(m_assumptionTimer);
     if (m_orderUnderWay)
         logOrderEnd(m_orderUnderWay->order, 0, "abandoned");
 }
@@ -122,8 +132,9 @@
         return;
     const bool loadIsDue = m_pendingLoad && now >= m_pendingLoad->dueAt;
     const bool unloadingCheckIsDue = !m_unloadingAdapters.empty() && now >= m_nextUnloadingCheck;
+    const bool verificationIsDue = m_verifyAt && now >= *m_verifyAt;
     const bool reportIsDue = !m_isKnown || m_isUncertain || loadIsDue || unloadingCheckIsDue
-        || (!m_pendingLoad && m_state.isBusy);
+        || verificationIsDue || (!m_pendingLoad && m_state.isBusy);
     if (!reportIsDue)
         processAdapterQueue(now);
     else if (now >= m_nextReport)
@@ -235,6 +246,8 @@
     switch (result) {
     case OrderResult::Accepted:
         ++m_state.ordersAccepted;
+        // The engine accepts an order only after it has finished the one before.
+        m_verifyAt.reset();
         return;
     case OrderResult::AlreadyDone:
         // The engine answers the unload of an unused adapter this way and counts it as an order.
@@ -270,6 +283,8 @@
     const bool isSent = sendOrder(order, [this](OrderResult result) {
         if (result != OrderResult::Accepted && result != OrderResult::Unknown)
             m_pendingLoad.reset();
+        else if (result == OrderResult::Accepted && m_pendingLoad && m_pendingLoad->isFromCopy())
+            assumeDoneAfter(m_pendingLoad->nominal + CopyLoadMargin);
         m_events.onChanged();
     });
     if (isSent)
@@ -286,16 +301,59 @@
                                               [this] { tick(m_context.reactor.now()); });
 }
 
-auto EngineController::unload(const std::string &model, TimePoint) -> void
+auto EngineController::assumeDoneAfter(std::chrono::milliseconds delay) -> void
+{
+    m_context.reactor.cancel(m_assumptionTimer);
+    m_assumptionTimer = m_context.reactor.callAfter(
+        delay, [this, orders = m_state.ordersAccepted, wasKnown = m_isKnown] {
+            if (wasKnown && m_isKnown && !m_isUncertain && orders == m_state.ordersAccepted)
+                assumeOrderDone();
+        });
+}
+
+/// Takes the accepted order for done before a report shows it, so that waiting requests and the
+/// next order don't wait for that report.
+auto EngineController::assumeOrderDone() -> void
+{
+    const auto now = m_context.reactor.now();
+    if (m_pendingLoad) {
+        m_state.models.try_emplace(m_pendingLoad->model);
+        noteLoaded(now);
+    } else if (m_unloadingModel.empty()) {
+        return;
+    }
+    m_unloadingModel.clear();
+    m_state.isBusy = false;
+    m_verifyAt = now + VerificationDelay;
+    m_nextReport = *m_verifyAt;
+    wakeAt(m_nextReport);
+    m_events.onChanged();
+}
+
+auto EngineController::noteLoaded(TimePoint now) -> void
+{
+    m_readySince[m_pendingLoad->model] = now;
+    const auto took =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_pendingLoad->startedAt);
+    Utils::logEvent(Utils::Event::LoadConfirmed,
+                    {{"server", m_id}, {"model", m_pendingLoad->model}, {"tookMs", took.count()}});
+    if (m_pendingLoad->storeLoads > 0)
+        m_events.onStoreLoad(m_pendingLoad->nominal, took, m_pendingLoad->storeLoads);
+    m_pendingLoad.reset();
+}
+
+auto EngineController::unload(const std::string &model, bool isIdle) -> void
 {
     const auto adapters = m_state.models[model];
     EngineOrder order;
     order.kind = EngineOrder::Kind::Unload;
     order.model = model;
-    const bool isSent = sendOrder(order, [this, model, adapters](OrderResult result) {
+    const bool isSent = sendOrder(order, [this, model, adapters, isIdle](OrderResult result) {
         if (result == OrderResult::Accepted) {
             m_unloadingModel = model;
             m_state.isBusy = true; // Until a report shows that the running requests have ended.
+            if (isIdle)
+                assumeDoneAfter(IdleUnloadTime);
             m_nextReport = m_context.reactor.now() + ReportLag;
             wakeAt(m_nextReport);
         } else if (result != OrderResult::AlreadyDone) {
@@ -471,6 +529,7 @@
         m_pendingLoad.reset();
     m_isKnown = true;
     m_isUncertain = false;
+    m_verifyAt.reset();
     m_state = *report;
     removeUnloadingAdapters();
     if (m_state.isBusy)
@@ -478,15 +537,7 @@
     else
         m_unloadingModel.clear();
     if (m_pendingLoad && m_state.models.count(m_pendingLoad->model) > 0) {
-        m_readySince[m_pendingLoad->model] = now;
-        const auto took =
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - m_pendingLoad->startedAt);
-        Utils::logEvent(
-            Utils::Event::LoadConfirmed,
-            {{"server", m_id}, {"model", m_pendingLoad->model}, {"tookMs", took.count()}});
-        if (m_pendingLoad->storeLoads > 0)
-            m_events.onStoreLoad(m_pendingLoad->nominal, took, m_pendingLoad->storeLoads);
-        m_pendingLoad.reset();
+        noteLoaded(now);
     } else if (m_pendingLoad && !m_state.isBusy
                && now > m_pendingLoad->dueAt + ReportRetryInterval) {
         Utils::logEvent(Utils::Event::LoadFailed,
--- a/src/libs/gateway/enginecontroller.h
+++ b/src/libs/gateway/enginecontroller.h
@@ -71,7 +71,9 @@
     /// if the model is loaded from a copy.
     auto load(const std::string &model, std::chrono::milliseconds expected, int storeLoads,
               Utils::TimePoint now) -> void;
-    auto unload(const std::string &model, Utils::TimePoint now) -> void;
+    /// `isIdle` tells that no request of the model is known to run, so that the unload takes no
+    /// time.
+    auto unload(const std::string &model, bool isIdle) -> void;
     /// Queues the load of an adapter; if all slots are taken, it replaces the least recently used
     /// one.
     auto requestAdapter(const std::string &model, const std::string &adapter, int adapterSlots,
@@ -99,6 +101,9 @@
         Utils::TimePoint dueAt;
         std::chrono::milliseconds nominal{0};
         Utils::TimePoint startedAt;
+
+        /// The duration is known in advance, as other loads don't slow down a load from a copy.
+        auto isFromCopy() const -> bool { return storeLoads == 0; }
     };
 
     /// An order that was sent and has not been answered.
@@ -130,6 +135,9 @@
     auto handleOrderResult(const EngineOrder &order, OrderResult result) -> void;
     auto requestReport() -> void;
     auto handleReport(const std::string &body) -> void;
+    auto noteLoaded(Utils::TimePoint now) -> void;
+    auto assumeDoneAfter(std::chrono::milliseconds delay) -> void;
+    auto assumeOrderDone() -> void;
     auto wakeAt(Utils::TimePoint at) -> void;
     auto processAdapterQueue(Utils::TimePoint now) -> void;
     auto unloadAdapter(const std::string &model, const std::string &adapter) -> void;
@@ -160,6 +168,9 @@
     long m_wakeTimer = 0;
     bool m_isUncertain = false; ///< An order got no answer; a report must resolve it.
     Utils::TimePoint m_nextReport;
+    long m_assumptionTimer = 0;
+    /// When a report is requested to check an order that was assumed to be done.
+    std::optional<Utils::TimePoint> m_verifyAt;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -199,7 +199,7 @@
                      {"reason", order.reason},
                      {"fromStore", order.isFromStore}});
     if (!isLoad)
-        return controller.unload(order.model, now());
+        return controller.unload(order.model, order.isIdle);
     const ModelDescription &model = description.models.at(order.model);
     const BackendServer *server = m_context.board.find(order.engine);
     const bool inMemory =
--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -254,8 +254,11 @@
     round.orderedEngines.insert(engine);
     if (!candidate.victims.empty()) {
         m_intents[engine] = {proposal.model->name, input.now + IntentLifetime};
-        round.orders.push_back({PlannedOrder::Kind::Unload, engine, candidate.victims.front(),
-                                false, proposal.reason + ":" + proposal.model->name});
+        const std::string &victim = candidate.victims.front();
+        const auto demand = input.demand.find(victim);
+        round.orders.push_back({PlannedOrder::Kind::Unload, engine, victim, false,
+                                proposal.reason + ":" + proposal.model->name,
+                                demand == input.demand.end() || demand->second.running == 0});
         return;
     }
     m_intents.erase(engine);
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -44,6 +44,7 @@
     std::string model;
     bool isFromStore = false;
     std::string reason;
+    bool isIdle = false; ///< No request of the model that is to be unloaded is known to run.
 };
 
 /// Decides which engines load and unload which models. Models with waiting requests come first:
--- a/tests/auto/platform/tst_enginedesk.cpp
+++ b/tests/auto/platform/tst_enginedesk.cpp
@@ -142,7 +142,7 @@
     controller->load("m2", 30ms, 0, loop->now());
     runFor(50ms);
     EXPECT_EQ(controller->state().models.count("m2"), 0U);
-    controller->unload("m1", loop->now());
+    controller->unload("m1", true);
     runFor(50ms);
     EXPECT_EQ(controller->state().models.count("m1"), 1U);
     EXPECT_FALSE(controller->isBusy());
@@ -225,6 +225,51 @@
     EXPECT_EQ(sent, 2);
 }
 
+// Guards against waiting for a report between the orders of a swap: reports are old and requested
+// at intervals, so that a swap took half as long again as the engine needed for it.
+TEST_F(EngineControllers, IdleModelIsReplacedWithoutWaitingForAReport)
+{
+    controller->unload("m1", true);
+    runFor(80ms);
+    EXPECT_FALSE(controller->isBusy());
+    EXPECT_EQ(controller->state().models.count("m1"), 0U);
+    engine->behaviour.loadTime = 100ms;
+    controller->load("m2", 100ms, 0, loop->now());
+    runFor(170ms);
+    EXPECT_EQ(controller->state().models.count("m2"), 1U);
+    EXPECT_FALSE(controller->isBusy());
+}
+
+// A model was assumed to be loaded, but the engine has crashed or needs longer.
+TEST_F(EngineControllers, ReportCorrectsALoadThatWasAssumedToBeDone)
+{
+    engine->behaviour.loadTime = 900ms;
+    controller->load("m2", 50ms, 0, loop->now());
+    runFor(150ms);
+    EXPECT_EQ(controller->state().models.count("m2"), 1U);
+    runFor(500ms);
+    EXPECT_EQ(controller->state().models.count("m2"), 0U);
+    EXPECT_TRUE(controller->isBusy());
+    runFor(600ms);
+    EXPECT_EQ(controller->state().models.count("m2"), 1U);
+    EXPECT_FALSE(controller->isBusy());
+}
+
+// The engine refuses an order because the one before isn't done although it was assumed to be.
+TEST_F(EngineControllers, OrderThatWasSentTooEarlyIsRefusedAndChangesNothing)
+{
+    engine->behaviour.loadTime = 400ms;
+    controller->load("m2", 50ms, 0, loop->now());
+    runFor(120ms);
+    controller->load("m3", 50ms, 0, loop->now());
+    runFor(300ms);
+    EXPECT_EQ(engine->orders(), 1);
+    EXPECT_EQ(controller->state().models.count("m3"), 0U);
+    runFor(500ms);
+    EXPECT_FALSE(controller->isBusy());
+    EXPECT_EQ(controller->state().models.count("m2"), 1U);
+}
+
 // Loads from the weight store start while others run that end first.
 TEST_F(EngineControllers, StoreLoadReportsTheConcurrencyAtItsStart)
 {
