--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -58,6 +58,9 @@
             return;
         if (answer.isLeaving && context->onLeaving)
             context->onLeaving(backendId, startedAtMs);
+        if (answer.coldFor)
+            context->board.coldStarts().noteRemaining(backendId, startedAtMs, *answer.coldFor,
+                                                      context->reactor.now());
         noteRateLimit(answer);
         if (!answer.pause)
             return;
--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -88,7 +88,9 @@
     m_expired.erase(row.key);
     const BackendServer *known = m_context.board.find(row.key);
     const bool isNewIncarnation = known && server->startedAtMs > known->startedAtMs;
-    const bool changesState = !known || isNewIncarnation || known->isUsable() != server->isUsable();
+    const bool changesState = !known || isNewIncarnation
+        || known->isListedAsUsable() != server->isUsable()
+        || (known->coldFor.count() == 0) != (server->coldFor.count() == 0);
     if (m_events.onStarted && (!known || isNewIncarnation))
         m_events.onStarted(*server);
     m_context.board.update(*server, m_context.reactor.now());
@@ -103,6 +105,7 @@
                          {"startedAtMs", server->startedAtMs},
                          {"leaving", server->isLeaving},
                          {"models", server->models.size()},
+                         {"coldMs", server->coldFor.count()},
                          {"era", row.version.era},
                          {"version", row.version.number}});
     m_events.onChanged();
--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -50,13 +50,15 @@
 auto BackendRegistry::update(const BackendServer &server, TimePoint now) -> bool
 {
     const auto found = m_entries.find(server.id);
+    if (found != m_entries.end() && server.startedAtMs < found->second.server.startedAtMs)
+        return false;
+    m_coldStarts.update(server.id, server.startedAtMs, server.service, server.failureDomain,
+                        server.coldFor, now);
     if (found == m_entries.end()) {
         m_entries[server.id].server = withAnnouncedState(server);
         return true;
     }
     Entry &entry = found->second;
-    if (server.startedAtMs < entry.server.startedAtMs)
-        return false;
     if (server.startedAtMs > entry.server.startedAtMs) {
         const int inFlight = entry.inFlight;
         entry = Entry();
@@ -80,6 +82,19 @@
 auto BackendRegistry::remove(const std::string &id) -> void
 {
     m_entries.erase(id);
+    m_coldStarts.remove(id);
+}
+
+auto BackendRegistry::setEvacuated(const std::string &domain, bool isEvacuated, TimePoint now)
+    -> bool
+{
+    if (!(isEvacuated ? m_evacuations.begin(domain) : m_evacuations.end(domain)))
+        return false;
+    if (!isEvacuated)
+        m_coldStarts.noteEvacuationEnded(domain, now);
+    for (auto &[id, entry] : m_entries)
+        entry.server.isEvacuated = m_evacuations.isEvacuated(entry.server.failureDomain);
+    return true;
 }
 
 auto BackendRegistry::applyReport(const std::string &id, const EngineReport &report) -> void
@@ -124,6 +139,7 @@
     const auto announced = m_announcedLeaving.find(server.id);
     if (announced != m_announcedLeaving.end() && announced->second == server.startedAtMs)
         result.isLeaving = true;
+    result.isEvacuated = m_evacuations.isEvacuated(server.failureDomain);
     return result;
 }
 
@@ -267,7 +283,7 @@
     return isSuitable(entry, requirements) && entry.ejectedUntil <= now && entry.avoidedUntil <= now
         && entry.pausedUntil <= now && holds(entry, requirements)
         && (!requirements.needsKnownIncarnation || !entry.lostAt)
-        && loadOf(entry, now) < capacityOf(entry);
+        && loadOf(entry, now) < capacityOf(entry) && m_coldStarts.maySend(entry.server.id, now);
 }
 
 auto BackendRegistry::scoreOf(const Entry &entry, TimePoint now) const -> double
@@ -276,7 +292,7 @@
     // failing server like one with several.
     constexpr double remoteDomainPenalty = 0.75;
     constexpr double failurePenalty = 4;
-    return loadOf(entry, now)
+    return m_coldStarts.weightedLoad(entry.server.id, loadOf(entry, now), now)
         + (entry.server.failureDomain == m_failureDomain ? 0.0 : remoteDomainPenalty)
         + entry.failureRate * failurePenalty;
 }
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -2,6 +2,8 @@
 
 #include "backendserver.h"
 
+#include <availability/coldstartlimiter.h>
+#include <availability/evacuationlist.h>
 #include <utils/timepoint.h>
 
 #include <functional>
@@ -64,6 +66,10 @@
     /// A server announced that it is leaving: that incarnation gets no new requests, whatever the
     /// list says. Returns true if that was unknown.
     auto noteLeaving(const std::string &id, std::int64_t startedAtMs) -> bool;
+    /// The servers of an evacuated domain get no requests. Returns false if that was known.
+    auto setEvacuated(const std::string &domain, bool isEvacuated, Utils::TimePoint now) -> bool;
+    auto evacuations() const -> const Availability::EvacuationList & { return m_evacuations; }
+    auto coldStarts() -> Availability::ColdStartLimiter & { return m_coldStarts; }
     /// The server's entry can't be read: it gets no new requests until an update. Returns true if
     /// the server was usable before.
     auto noteUnreadable(const std::string &id) -> bool;
@@ -161,6 +167,8 @@
     /// because an entry may expire and reappear.
     std::map<std::string, std::int64_t> m_announcedLeaving;
     std::map<std::string, int> m_capacity;
+    Availability::EvacuationList m_evacuations;
+    Availability::ColdStartLimiter m_coldStarts;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/backendserver.h
+++ b/src/libs/gateway/backendserver.h
@@ -25,6 +25,8 @@
     int slots = 0;
     bool isLeaving = false;
     bool hasUnreadableEntry = false; ///< The entry was overwritten; the fields are the former ones.
+    bool isEvacuated = false; ///< Operators evacuate its failure domain; not part of the entry.
+    std::chrono::milliseconds coldFor{0}; ///< Time for which it is cold yet.
     std::optional<std::chrono::milliseconds> leavesIn;
     /// Models in engine memory, with the loaded adapters of each.
     std::map<std::string, std::set<std::string>> models;
@@ -33,7 +35,8 @@
     std::int64_t ordersAccepted = 0;
 
     /// True if the list names the server as one to use.
-    auto isUsable() const -> bool { return !isLeaving && !hasUnreadableEntry; }
+    auto isListedAsUsable() const -> bool { return !isLeaving && !hasUnreadableEntry; }
+    auto isUsable() const -> bool { return isListedAsUsable() && !isEvacuated; }
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <availability/coldstartdescription.h>
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -77,6 +79,7 @@
     std::string name;
     std::string healthPath;
     int mostConnections = 0; ///< Per backend server, for all callers together.
+    Availability::ColdStartDescription coldStart;
     std::optional<EngineDescription> engine; ///< Only for model engines.
 };
 
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -51,6 +51,8 @@
 /// Shortest delay of the event loop that is logged.
 constexpr milliseconds LoggedLoopDelay(300);
 constexpr milliseconds StopCheckInterval(50);
+/// Interval at which the list of gateways that share cold servers is renewed.
+constexpr milliseconds KnownGatewaysInterval(500);
 /// Delay after which a message to all gateways is sent a second time.
 constexpr milliseconds RebroadcastDelay(300);
 
@@ -118,6 +120,7 @@
     std::map<CallerSession *, std::unique_ptr<CallerSession>> sessions;
     std::unique_ptr<Net::PeriodicTimer> dispatchTimer;
     std::unique_ptr<Net::PeriodicTimer> logTimer;
+    std::unique_ptr<Net::PeriodicTimer> knownGatewaysTimer;
     std::unique_ptr<Net::PeriodicTimer> stopTimer;
     StalenessDetector configurationStaleness{Constants::ConfigurationLagTimeout};
     StalenessDetector serverListStaleness{serverListPollInterval()
@@ -204,6 +207,9 @@
         metrics.set("acacia_configuration_age_seconds", age ? Utils::toSeconds(*age) : -1);
         metrics.set("acacia_store_era",
                     static_cast<double>(configurationFollower->completeVersion().era));
+        metrics.set("acacia_evacuated_domains",
+                    static_cast<double>(registry.evacuations().domains().size()));
+        metrics.set("acacia_cold_servers", registry.coldStarts().coldServers(reactor.now()));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
     }
@@ -231,7 +237,9 @@
             streamOrigins->handleStoreEra(era);
         };
         events.onRow = [this, key = configurationRow.key](const Row &row) {
-            if (row.key == key && !row.isRemoved)
+            if (const auto domain = wire.evacuatedDomain(row.key))
+                applyEvacuation(*domain, row);
+            else if (row.key == key && !row.isRemoved)
                 applyConfiguration(row);
         };
         events.onCaughtUp = [] {};
@@ -361,6 +369,18 @@
         streamOrigins->setListedVersions(versions);
     }
 
+    /// The row's existence counts, whatever its value is.
+    auto applyEvacuation(const std::string &domain, const Row &row) -> void
+    {
+        if (!registry.setEvacuated(domain, !row.isRemoved, reactor.now()))
+            return;
+        Utils::logEvent(
+            row.isRemoved ? Utils::Event::EvacuationEnded : Utils::Event::EvacuationBegun,
+            {{"domain", domain}, {"era", row.version.era}, {"rowVersion", row.version.number}});
+        requestQueue.wake();
+        placement->requestUpdate();
+    }
+
     auto applyConfiguration(const Row &row) -> void
     {
         auto parsed = row.fault ? tl::unexpected(*row.fault) : wire.parseConfiguration(row.value);
@@ -381,6 +401,7 @@
             return;
         }
         for (const auto &[name, service] : parsed->services) {
+            registry.coldStarts().setService(name, service.coldStart);
             if (service.engine)
                 registry.setCapacity(name, service.engine->batchSlots);
         }
@@ -482,7 +503,8 @@
             return;
         crashTracker.noteConnectionLost(lost.backendId, lost.startedAtMs, lost.features,
                                         reactor.now());
-        if (server && lost.isCutOff && server->startedAtMs == lost.startedAtMs)
+        if (server && lost.isCutOff && !server->isEvacuated
+            && server->startedAtMs == lost.startedAtMs)
             probeAfterLoss(*server);
     }
 
@@ -628,6 +650,13 @@
         d->requestQueue.wake();
         d->checkFreshness();
     });
+    d->registry.coldStarts().setTolerance(settings.coldStartTolerance);
+    d->knownGatewaysTimer =
+        std::make_unique<Net::PeriodicTimer>(reactor, KnownGatewaysInterval, [d] {
+            if (const auto known = d->placement->knownPeers())
+                d->registry.coldStarts().setGateways(d->settings.peerAddress, *known,
+                                                     d->gatewayCount, d->reactor.now());
+        });
     d->logTimer = std::make_unique<Net::PeriodicTimer>(reactor, Constants::LogFlushInterval,
                                                        [] { Utils::flushLog(); });
     return std::unique_ptr<GatewayServer>(new GatewayServer(std::move(data)));
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -44,6 +44,9 @@
     settings.quotaTolerance.window =
         reader.milliseconds("quotaWindowMs", std::chrono::milliseconds(0));
     settings.quotaTolerance.share = reader.number("quotaTolerance", 0, 1, 0);
+    settings.coldStartTolerance.factor = reader.number("coldStartFactor", 0, mostRetryRatio, 1);
+    settings.coldStartTolerance.extraRequests =
+        reader.number("coldStartSlack", 0, mostRetrySlack, 0);
     settings.placement.leaseTime = reader.milliseconds("leaseTimeMs", settings.placement.leaseTime);
     settings.placement.processorShare = reader.number("processorShare", 0, 1024, 1);
     settings.placement.loadWindow =
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -3,6 +3,7 @@
 #include "placementcoordinator.h"
 #include "quotaledger.h"
 
+#include <availability/coldstarttolerance.h>
 #include <http1/socketaddress.h>
 
 #include <chrono>
@@ -35,6 +36,7 @@
     double retryRatio = 0; ///< Retries for each request, over all gateways.
     double retrySlack = 0; ///< Retries beyond that in one window, over all gateways.
     QuotaTolerance quotaTolerance;
+    Availability::ColdStartTolerance coldStartTolerance;
     PlacementLimits placement;
 };
 
--- a/src/libs/gateway/incarnationverifier.cpp
+++ b/src/libs/gateway/incarnationverifier.cpp
@@ -74,6 +74,9 @@
         m_checks.erase(backendId);
         return m_events.onConfirmed();
     }
+    // Evacuated servers are not probed, nor used until they have been.
+    if (m_context.board.find(backendId)->isEvacuated)
+        return schedule(backendId);
     Check &check = m_checks.at(backendId);
     check.status = 0;
     check.body.clear();
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -320,7 +320,7 @@
 
 auto RequestFlow::waitForServer() -> void
 {
-    if (m_isDone || m_isWaiting || refuseIfAllPaused() || refuseIfVersionIsGone())
+    if (m_isDone || m_isWaiting || refuseIfAllPaused() || refuseIfNoServerIsLeft())
         return;
     m_isWaiting = true;
     const RequestRank rank = {m_customer ? m_customer->priority : 0, m_route->priority,
@@ -347,10 +347,13 @@
     return true;
 }
 
-/// Refuses a request that goes on with a stream if no server of its version can serve it any more.
-auto RequestFlow::refuseIfVersionIsGone() -> bool
+/// Refuses a request if its service is evacuated, or if it goes on with a stream and no server of
+/// that version can serve it any more.
+auto RequestFlow::refuseIfNoServerIsLeft() -> bool
 {
-    if (!m_streamVersion || m_context.board.hasPossibleServer(requirements()))
+    const bool isEvacuated =
+        !m_context.board.evacuations().domains().empty() && !m_context.board.hasService(m_service);
+    if (!isEvacuated && (!m_streamVersion || m_context.board.hasPossibleServer(requirements())))
         return false;
     refuse(m_possibleRuns > 0 ? RefusalReason::BackendFailed : RefusalReason::NoBackendServer);
     return true;
@@ -437,7 +440,7 @@
         return;
     if (trySend())
         stopWaiting();
-    else if (!refuseIfVersionIsGone())
+    else if (!refuseIfNoServerIsLeft())
         requestPermit();
 }
 
@@ -524,18 +527,22 @@
     m_permitUsableUntil = m_context.permits->take(server);
     m_isHeldBack = false;
     m_context.board.noteSent(server.id);
+    const auto coldUntil = m_context.board.coldStarts().take(server.id, m_context.reactor.now());
     if (m_needsModel)
         m_context.demand.noteRunning(m_modelKey, 1);
     BackendAttempt::Events events;
     events.onHead = [this](const BackendAnswer &answer) { handleHead(answer); };
     events.onBody = [this](std::string_view data) { handleBody(data); };
     events.onEnd = [this](AttemptEnd outcome) { handleEnd(outcome); };
-    events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs] {
+    events.maySend = [this, id = server.id, startedAtMs = server.startedAtMs,
+                      domain = server.failureDomain, coldUntil] {
         if (timeLeft() <= Constants::AnswerMargin || m_caller->clientHasDisconnected())
             return false;
         const bool isReplaced =
             needsVersion() && !m_context.board.isIncarnationKnown(id, startedAtMs);
-        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs) || isReplaced;
+        m_isHeldBack = isSuspect() || !maySendNow(id, startedAtMs) || isReplaced
+            || m_context.board.evacuations().isEvacuated(domain)
+            || !m_context.board.coldStarts().mayWrite(id, coldUntil, m_context.reactor.now());
         if (m_isHeldBack)
             return false;
         noteWritten(id, startedAtMs);
@@ -565,10 +572,12 @@
 auto RequestFlow::noteWritten(const std::string &serverId, std::int64_t startedAtMs) -> void
 {
     m_context.suspects->noteWritten(m_features);
+    const auto now = m_context.reactor.now();
+    if (m_context.board.coldStarts().noteWritten(m_request.attemptId, serverId, now))
+        m_context.metrics.count("acacia_cold_sends_total", {});
     const RateLimit *limit = m_context.rateLimits.find(serverId, startedAtMs);
     if (!limit)
         return;
-    const auto now = m_context.reactor.now();
     Utils::logEvent(Utils::Event::RequestSentUnderLimit,
                     {{"request", m_request.attemptId},
                      {"server", serverId},
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -67,7 +67,7 @@
     auto startTimers() -> void;
     auto waitForServer() -> void;
     auto refuseIfAllPaused() -> bool;
-    auto refuseIfVersionIsGone() -> bool;
+    auto refuseIfNoServerIsLeft() -> bool;
     auto stopWaiting() -> void;
     auto requestPermit() -> void;
     auto cancelPermit() -> void;
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -91,6 +91,7 @@
     bool hasMalformedRateLimit = false;
     bool endsWithConnection = false; ///< Nothing but the connection's end shows where it ends.
     bool isEncoded = false; ///< An intermediary has encoded the body.
+    std::optional<std::chrono::milliseconds> coldFor; ///< Time for which the server is cold yet.
     std::optional<std::string> actualServerId;
     std::optional<BackendLoad> load;
     std::optional<std::chrono::seconds> idleTimeout;
@@ -167,6 +168,9 @@
 
     /// Where the store keeps the operators' configuration and the list of backend servers.
     virtual auto configurationRow() const -> RowName = 0;
+    /// The failure domain whose evacuation a row of the configuration's table stands for; unset for
+    /// other rows.
+    virtual auto evacuatedDomain(const std::string &key) const -> std::optional<std::string> = 0;
     virtual auto backendTable() const -> std::string = 0;
     virtual auto parseConfiguration(const std::string &bytes) const
         -> Utils::Result<Configuration, std::string> = 0;
--- a/tests/auto/platform/gatewayfixture.h
+++ b/tests/auto/platform/gatewayfixture.h
@@ -114,6 +114,7 @@
         settings.stopTime = stopTime;
         settings.retryRatio = 0.2;
         settings.retrySlack = retrySlack;
+        settings.coldStartTolerance = {1.5, 5};
         address = settings.callerAddress;
         readiness = settings.readinessAddress;
         peers = settings.peerAddress;
