--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -206,6 +206,11 @@
                     static_cast<double>(configurationFollower->completeVersion().era));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
+        for (const auto &[route, count] : requestQueue.scheduler().waitingByRoute())
+            metrics.set("acacia_waiting_requests", count, {{"route", route}});
+        const auto now = reactor.now();
+        const auto oldest = requestQueue.scheduler().oldestArrival().value_or(now);
+        metrics.set("acacia_longest_wait_seconds", Utils::toSeconds(now - oldest));
     }
 
     /// Measures the event-loop delay; must be called every `DispatchInterval`.
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -107,6 +107,7 @@
     if (!m_answerBegun) {
         m_answerBegun = true;
         m_firstEventAt = m_context.reactor.now();
+        noteAnswerBegun();
         beginStream();
         m_context.metrics.observe("acacia_first_byte_seconds",
                                   Utils::toSeconds(m_firstEventAt - m_arrivedAt));
@@ -160,6 +161,12 @@
     m_streamVersion = isReplaced ? std::string() : m_serverVersion;
 }
 
+/// The part of the answer that the latency objective is set for has arrived.
+auto RequestFlow::noteAnswerBegun() -> void
+{
+    m_context.requestQueue.scheduler().noteAnswered(m_waiting, m_context.reactor.now() - m_sentAt);
+}
+
 auto RequestFlow::hasOutlivedBeginning() const -> bool
 {
     return m_attemptBegunAt
@@ -260,6 +267,8 @@
         return refuse(RefusalReason::BackendFailed);
     if (begun && !m_answer.isSuccess())
         return refuse(RefusalReason::BackendFailed);
+    if (!begun)
+        noteAnswerBegun();
     m_context.metrics.count("acacia_answers_total");
     m_context.metrics.observe("acacia_request_seconds",
                               Utils::toSeconds(m_context.reactor.now() - m_arrivedAt));
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -79,9 +79,23 @@
     if (m_needsModel)
         m_context.demand.noteArrived(m_modelKey, m_arrivedAt);
     startTimers();
+    m_waiting = {m_context.requestQueue.makeId(),
+                 m_service,
+                 m_needsModel ? m_request.model : std::string(),
+                 m_needsModel ? m_request.adapter : std::string(),
+                 m_route->name,
+                 m_customer ? m_customer->name : std::string(),
+                 m_customer ? m_customer->priority : 0,
+                 m_route->priority,
+                 m_request.hasTokenCount ? m_request.tokens() : double(m_request.body.size()),
+                 m_arrivedAt,
+                 m_arrivedAt + m_route->latencyObjective,
+                 m_waitEnd};
+    const auto now = m_context.reactor.now();
+    m_context.requestQueue.scheduler().noteArrived(m_waiting, now);
     if (takesUpStream())
         return findOrigin();
-    if (!trySend())
+    if (m_context.requestQueue.scheduler().hasClaimBefore(m_waiting, now) || !trySend())
         waitForServer();
 }
 
@@ -323,9 +337,7 @@
     if (m_isDone || m_isWaiting || refuseIfAllPaused() || refuseIfVersionIsGone())
         return;
     m_isWaiting = true;
-    const RequestRank rank = {m_customer ? m_customer->priority : 0, m_route->priority,
-                              m_arrivedAt + m_route->latencyObjective};
-    m_context.requestQueue.add(shared_from_this(), rank);
+    m_context.requestQueue.add(shared_from_this(), m_waiting);
     requestPermit();
     if (!m_needsModel)
         return;
@@ -362,7 +374,7 @@
         return;
     m_isWaiting = false;
     cancelPermit();
-    m_context.requestQueue.remove(this);
+    m_context.requestQueue.remove(m_waiting.id);
     if (m_needsModel)
         m_context.demand.noteWaitingEnded(m_modelKey);
 }
@@ -441,6 +453,12 @@
         requestPermit();
 }
 
+auto RequestFlow::mayUseAnyServer() const -> bool
+{
+    return m_triedServers.empty() && !needsVersion() && !m_context.isStopping()
+        && m_context.rateLimits.all().empty() && !m_permitTicket;
+}
+
 auto RequestFlow::trySend() -> bool
 {
     // Does not send a request whose caller disconnected while this process was busy or suspended.
@@ -521,6 +539,7 @@
     m_splitter.clear();
     m_resumedAfter = m_answerBegun ? m_lastEvent : std::nullopt;
     ++m_sends;
+    noteSent();
     m_permitUsableUntil = m_context.permits->take(server);
     m_isHeldBack = false;
     m_context.board.noteSent(server.id);
@@ -551,6 +570,16 @@
     startSilenceTimer();
 }
 
+auto RequestFlow::noteSent() -> void
+{
+    m_sentAt = m_context.reactor.now();
+    if (m_sends > 1)
+        return;
+    m_context.requestQueue.scheduler().noteSent(m_waiting, m_sentAt);
+    if (m_sentAt > m_waiting.objective)
+        m_context.metrics.count("acacia_sent_late_total", {{"route", m_route->name}});
+}
+
 /// False if the server has named a limit since the connection was opened, or the permit has
 /// expired.
 auto RequestFlow::maySendNow(const std::string &serverId, std::int64_t startedAtMs) const -> bool
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -7,6 +7,7 @@
 #include "wireformat.h"
 
 #include <admission/refusal.h>
+#include <admission/waitingrequest.h>
 #include <net/reactor.h>
 #include <routing/crashfeature.h>
 #include <routing/crashverdicts.h>
@@ -42,6 +43,8 @@
     auto handleCallerDisconnect() -> void;
     /// Sends the request if a backend server has capacity now.
     auto tryDispatch() -> void;
+    /// True if nothing but free slots decides whether the request can be sent.
+    auto mayUseAnyServer() const -> bool;
     /// Refuses the request because the process is stopping.
     auto abort() -> void;
 
@@ -74,6 +77,8 @@
     auto handlePermitRefused(const std::string &server, Utils::Duration delay) -> void;
     auto maySendNow(const std::string &serverId, std::int64_t startedAtMs) const -> bool;
     auto trySend() -> bool;
+    auto noteSent() -> void;
+    auto noteAnswerBegun() -> void;
     auto isSuspect() const -> bool;
     auto refuseSuspect() -> void;
     auto send(const BackendServer &server) -> void;
@@ -140,6 +145,8 @@
     std::optional<std::uint64_t> m_originTicket; ///< While the version of a stream is looked up.
     Net::Reactor::TimerId m_silenceTimer = 0;
     bool m_isWaiting = false;
+    Admission::WaitingRequest m_waiting; ///< As the scheduler sees this request.
+    Utils::TimePoint m_sentAt; ///< Of the current attempt.
     std::optional<std::uint64_t> m_permitTicket; ///< While a permit is requested.
     std::string m_permitServer; ///< The server that it is requested for.
     std::set<std::string> m_refusedPermits; ///< Servers whose limit leaves no room in time.
--- a/src/libs/gateway/requestqueue.cpp
+++ b/src/libs/gateway/requestqueue.cpp
@@ -5,7 +5,8 @@
 
 #include <net/reactor.h>
 
-#include <vector>
+#include <set>
+#include <string>
 
 namespace Gateway {
 
@@ -13,20 +14,19 @@
     : m_reactor(reactor)
 { }
 
-auto RequestQueue::add(const std::shared_ptr<RequestFlow> &flow, const RequestRank &rank) -> void
+auto RequestQueue::add(const std::shared_ptr<RequestFlow> &flow,
+                       const Admission::WaitingRequest &request) -> void
 {
-    const Key key(rank, m_nextSequence++);
-    m_flows.emplace(key, flow);
-    m_keys[flow.get()] = key;
+    m_flows[request.id] = flow;
+    m_scheduler->add(request);
+    // The request may not have been tried, as others wait for the same slots.
+    wake();
 }
 
-auto RequestQueue::remove(const RequestFlow *flow) -> void
+auto RequestQueue::remove(std::uint64_t id) -> void
 {
-    const auto found = m_keys.find(flow);
-    if (found == m_keys.end())
-        return;
-    m_flows.erase(found->second);
-    m_keys.erase(found);
+    m_flows.erase(id);
+    m_scheduler->remove(id, m_reactor.now());
 }
 
 auto RequestQueue::clear() -> void
@@ -34,7 +34,6 @@
     // Requests remove themselves when they end.
     const auto flows = std::move(m_flows);
     m_flows.clear();
-    m_keys.clear();
 }
 
 auto RequestQueue::wake() -> void
@@ -50,12 +49,20 @@
 
 auto RequestQueue::dispatchAll() -> void
 {
-    std::vector<std::shared_ptr<RequestFlow>> order;
-    order.reserve(m_flows.size());
-    for (const auto &[key, flow] : m_flows)
-        order.push_back(flow);
-    for (const auto &flow : order)
+    std::set<std::string> fullPools;
+    for (const std::uint64_t id : m_scheduler->order(m_reactor.now())) {
+        const auto found = m_flows.find(id);
+        if (found == m_flows.end())
+            continue;
+        const auto flow = found->second;
+        const std::string pool = m_scheduler->find(id)->pool();
+        const bool mayUseAnyServer = flow->mayUseAnyServer();
+        if (mayUseAnyServer && fullPools.count(pool) > 0)
+            continue;
         flow->tryDispatch();
+        if (mayUseAnyServer && m_flows.count(id) > 0)
+            fullPools.insert(pool);
+    }
 }
 
 } // namespace Gateway
