Use the fourth figure of a server's reported load in the selection

Cause: servers that share their machine add to their load how long work takes there at the moment. The codec accepted exactly three figures, so the whole report of such a server was dropped and its load counted as that of this gateway's requests only.

Ruled out: using the last figure as it is (it changes many times a second), and keeping it until the next report (a slow server gets few requests, so it would never be tried again).

Change: a fourth figure is optional; one that is malformed, not finite or not positive is ignored and the other three are kept. It is smoothed over 250 ms, fades from 300 ms to 2 s after the last report, and scales the score of its server. Without it the score is unchanged.

--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -100,6 +100,8 @@
     found->second.reportedOtherRequests =
         std::max(0, load.running + load.waiting - found->second.inFlight);
     found->second.reportedAt = now;
+    if (load.slowdown)
+        found->second.slowdown.note(*load.slowdown, now);
 }
 
 auto BackendRegistry::noteMissing(const std::string &id, const std::string &model,
@@ -276,8 +278,9 @@
     // failing server like one with several.
     constexpr double remoteDomainPenalty = 0.75;
     constexpr double failurePenalty = 4;
-    return loadOf(entry, now)
-        + (entry.server.failureDomain == m_failureDomain ? 0.0 : remoteDomainPenalty)
+    // The request itself takes longer on a slow machine as well, also if nothing else runs there.
+    const double delay = (loadOf(entry, now) + 1) * entry.slowdown.value(now) - 1;
+    return delay + (entry.server.failureDomain == m_failureDomain ? 0.0 : remoteDomainPenalty)
         + entry.failureRate * failurePenalty;
 }
 
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -2,6 +2,7 @@
 
 #include "backendserver.h"
 
+#include <routing/machineslowdown.h>
 #include <utils/timepoint.h>
 
 #include <functional>
@@ -136,6 +137,7 @@
         std::optional<Utils::TimePoint> refusedAt;
         int reportedOtherRequests = 0; ///< Other gateways' requests in the server's last report.
         Utils::TimePoint reportedAt;
+        Routing::MachineSlowdown slowdown;
     };
 
     /// The list's entry, merged with what the server itself announced.
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -71,6 +71,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Time that work takes on the server's machine at this moment, relative to the usual time.
+    std::optional<double> slowdown = {};
 };
 
 /// A backend server's answer, decoded.
--- a/src/libs/routing/routingconstants.h
+++ b/src/libs/routing/routingconstants.h
@@ -22,4 +22,18 @@
 constexpr double RetryRatio = 0.1;
 constexpr double MaxSavedRetries = 20;
 
+/// Time constant for smoothing the slowdown that a server reports. The reported figure changes many
+/// times a second, and requests take tenths of a second, so only its mean over about one request
+/// matters.
+constexpr std::chrono::milliseconds SlowdownSmoothingTime(250);
+/// Several answers within one moment repeat the same observation; each counts as if this time had
+/// passed.
+constexpr std::chrono::steady_clock::duration MinReportSpacing = std::chrono::milliseconds(5);
+/// A reported slowdown is used unchanged for the first time and has no effect after the second. A
+/// slow server gets few requests, so its report must fade for the server to be tried again.
+constexpr std::chrono::milliseconds SlowdownFreshTime(300);
+constexpr std::chrono::milliseconds SlowdownLifetime(2000);
+/// Bound on a reported slowdown; a machine that is slower than this is one to avoid in any case.
+constexpr double MaxSlowdown = 20;
+
 } // namespace Routing::Constants
--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -189,6 +189,25 @@
     EXPECT_TRUE(registry.choose(requirements(), start + Constants::ReportedLoadLifetime));
 }
 
+// Load pattern: a noisy neighbour on a server's machine. Guards against requests that are sent
+// there while an equally loaded server is free of it, and against a server avoided for good.
+TEST(BackendRegistry, ServerOnASlowedMachineGetsFewerRequestsWhileItReportsSo)
+{
+    BackendRegistry registry("a");
+    registry.update(makeServer("s1"), start);
+    registry.update(makeServer("s2"), start);
+    const std::string preferred = *registry.choose(requirements(), start);
+    const std::string other = preferred == "s1" ? "s2" : "s1";
+    registry.updateLoad(preferred, {0, 0, 6, 2.0}, start);
+    EXPECT_EQ(registry.choose(requirements(), start), other);
+    registry.noteSent(other);
+    registry.noteSent(other);
+    EXPECT_EQ(registry.choose(requirements(), start), preferred) << "slow is better than busy";
+    registry.noteEnded(other, SendOutcome::Good, start);
+    registry.noteEnded(other, SendOutcome::Good, start);
+    EXPECT_EQ(registry.choose(requirements(), start + 10s), preferred);
+}
+
 // Guards against: a server whose entry was overwritten stays in use, or counts as ended.
 TEST(BackendRegistry, ServerWithAnUnreadableEntryIsUnusedUntilTheNextUpdate)
 {
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -163,6 +163,31 @@
     EXPECT_FALSE(answer.forwarded.has("Server-Load"));
 }
 
+// Guards against a reported load that is dropped because of a fourth figure (servers that share
+// their machine report how long work takes there).
+TEST(Codecs, LoadWithAFourthFigureIsDecoded)
+{
+    for (const char *text : {"3,1,8,170", "3, 1, 8, 170.0", "3,1,8,", "3,1,8,x", "3,1,8,-5",
+                             "3,1,8,0", "3,1,8,nan", "3,1,8,inf", "3,1,8,1e999", "3,1,8,170,9"}) {
+        Http1::ResponseHead head;
+        head.fields.add("Server-Load", text);
+        const auto answer = decodeAnswer(head);
+        ASSERT_TRUE(answer.load) << text;
+        EXPECT_EQ(answer.load->running, 3) << text;
+        EXPECT_EQ(answer.load->waiting, 1) << text;
+        EXPECT_EQ(answer.load->slots, 8) << text;
+    }
+    const auto slowdownOf = [](const char *text) {
+        Http1::ResponseHead head;
+        head.fields.add("Server-Load", text);
+        return decodeAnswer(head).load->slowdown;
+    };
+    EXPECT_EQ(slowdownOf("3,1,8,170"), 1.7);
+    EXPECT_EQ(slowdownOf("3,1,8, 50 "), 0.5);
+    for (const char *text : {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,-5", "3,1,8,0", "3,1,8,nan"})
+        EXPECT_FALSE(slowdownOf(text)) << text;
+}
+
 TEST(Codecs, RateLimitIsDecoded)
 {
     Http1::ResponseHead head{200, {}, true};
