--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -4,6 +4,7 @@
 
 #include <availability/coldstartlimiter.h>
 #include <availability/evacuationlist.h>
+#include <routing/machineslowdown.h>
 #include <utils/timepoint.h>
 
 #include <functional>
@@ -142,6 +143,7 @@
         std::optional<Utils::TimePoint> refusedAt;
         int reportedOtherRequests = 0; ///< Other gateways' requests in the server's last report.
         Utils::TimePoint reportedAt;
+        Routing::MachineSlowdown slowdown;
     };
 
     /// The list's entry, merged with what the server itself announced.
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -38,6 +38,8 @@
     std::chrono::milliseconds timeout{0}; ///< Longest time until the caller is answered.
     std::chrono::milliseconds latencyObjective{0}; ///< For a stream, until its first event.
     std::chrono::milliseconds pauseObjective{0}; ///< Longest pause between a stream's events.
+    /// Clients give up after this time without an answer, or without an event of a stream.
+    std::chrono::milliseconds clientPatience = std::chrono::milliseconds::max();
     int priority = 0; ///< 0 is the most urgent.
     std::vector<ServiceShare> shares;
     int maxServers = 1; ///< Limit on backend servers that may run one attempt of a caller.
--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds ReportLag(110);
 /// Time that an engine takes to drop a model without running requests. If it takes longer, the
 /// engine refuses the next order, and a report shows when it accepts one.
-constexpr std::chrono::milliseconds IdleUnloadTime(30);
+constexpr std::chrono::milliseconds IdleUnloadTime(90);
 /// Added to the nominal duration of a load from a copy before the model is taken for loaded. A
 /// request that arrives earlier is refused as not run.
 constexpr std::chrono::milliseconds CopyLoadMargin(15);
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -316,7 +316,10 @@
     if (m_request.patience)
         total = std::min(total, *m_request.patience);
     m_deadline = m_arrivedAt + total;
-    m_waitEnd = m_arrivedAt + duration_cast<Duration>(total * Constants::MaxWaitShare);
+    // A client that has given up is served by nobody; refused before that, it may try again.
+    m_waitEnd = m_arrivedAt
+        + duration_cast<Duration>(std::min(total, m_route->clientPatience)
+                                  * Constants::MaxWaitShare);
     // Part of the time may have been spent waiting for quota or for a confirmation.
     const auto now = m_context.reactor.now();
     const auto weak = weak_from_this();
