--- a/src/libs/entry/callerrequest.cpp
+++ b/src/libs/entry/callerrequest.cpp
@@ -1,6 +1,7 @@
 #include "callerrequest.h"
 
 #include <routing/crashsuspects.h>
+#include <utils/jsontext.h>
 
 #include <algorithm>
 
@@ -33,7 +34,7 @@
         headers["Retry-After"] = std::to_string(seconds);
     }
     exchange.respond(Admission::describe(refusal.reason).httpStatus, headers,
-                     errorBody(refusal, requestId).dump());
+                     Utils::toJsonText(errorBody(refusal, requestId)));
 }
 
 CallerRequest::CallerRequest(std::string id, std::shared_ptr<Net::HttpExchange> exchange,
@@ -148,7 +149,8 @@
         respondWithRefusal(*m_exchange, m_id, refusal);
         return;
     }
-    m_exchange->write("event: error\ndata: " + errorBody(refusal, m_id).dump() + "\n\n");
+    m_exchange->write("event: error\ndata: " + Utils::toJsonText(errorBody(refusal, m_id))
+                      + "\n\n");
     m_exchange->end();
 }
 
--- a/src/libs/entry/entryserver.cpp
+++ b/src/libs/entry/entryserver.cpp
@@ -1,5 +1,7 @@
 #include "entryserver_p.h"
 
+#include <utils/jsontext.h>
+
 namespace Entry {
 
 auto EntryServer::Private::handle(const std::shared_ptr<Net::HttpExchange> &exchange) -> void
@@ -44,7 +46,8 @@
     constexpr int ok = 200;
     node->metrics().count("acacia_answers_total");
     const json body = {{"status", "ok"}, {"revision", node->state().revision()}};
-    exchange.respond(ok, {{"Content-Type", "application/json"}, {"X-Request-Id", id}}, body.dump());
+    exchange.respond(ok, {{"Content-Type", "application/json"}, {"X-Request-Id", id}},
+                     Utils::toJsonText(body));
 }
 
 auto EntryServer::Private::accept(const RequestPointer &request) -> void
--- a/src/libs/entry/requestscreen.cpp
+++ b/src/libs/entry/requestscreen.cpp
@@ -1,6 +1,7 @@
 #include "requestscreen.h"
 
 #include <utils/hashing.h>
+#include <utils/jsontext.h>
 
 #include <cmath>
 #include <cstdlib>
@@ -100,7 +101,7 @@
     if (!body.is_object() || !body.contains(source.name))
         return {};
     const auto &value = body[source.name];
-    return value.is_string() ? value.get<std::string>() : value.dump();
+    return value.is_string() ? value.get<std::string>() : Utils::toJsonText(value);
 }
 
 auto screenService(const HttpRequest &request, const Rules::Sourced<Rules::RouteRule> &route,
--- a/src/libs/gateway/backendfollower.cpp
+++ b/src/libs/gateway/backendfollower.cpp
@@ -5,6 +5,7 @@
 #include "gatewaycontext.h"
 #include "wireformat.h"
 
+#include <monitoring/metrics.h>
 #include <net/reactor.h>
 #include <utils/eventlog.h>
 
@@ -110,6 +111,7 @@
 
 auto BackendFollower::handleUnreadableRow(const Row &row, const std::string &reason) -> void
 {
+    m_context.metrics.count("acacia_entries_rejected_total", {{"what", "server"}});
     const bool wasUsable = m_context.board.noteUnreadable(row.key);
     if (wasUsable)
         m_events.onChanged();
--- a/src/libs/gateway/demandaggregator.cpp
+++ b/src/libs/gateway/demandaggregator.cpp
@@ -1,6 +1,7 @@
 #include "demandaggregator.h"
 
 #include <utils/jsonfield.h>
+#include <utils/name.h>
 
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,10 @@
     if (!entry.is_array() || entry.size() != fieldCount || !entry[0].is_string()
         || !entry[1].is_string() || !entry[2].is_string())
         return {};
+    for (size_t i = 0; i < 3; ++i) {
+        if (!Utils::isValidName(entry[i].get_ref<const std::string &>()))
+            return {};
+    }
     const auto waiting = Utils::wholeNumber<int>(entry[3], 0, MaxRequests);
     const auto running = Utils::wholeNumber<int>(entry[4], 0, MaxRequests);
     const auto perSecond = decodeAmount(entry[5], MaxPerSecond);
--- a/src/libs/gateway/originjournal.cpp
+++ b/src/libs/gateway/originjournal.cpp
@@ -1,6 +1,7 @@
 #include "originjournal.h"
 
 #include <utils/jsonfield.h>
+#include <utils/jsontext.h>
 
 #include <algorithm>
 #include <map>
@@ -49,7 +50,7 @@
         for (const OriginLog::Key key : versionKeys)
             appendKey(keys, key);
     }
-    return head.dump() + '\n' + keys;
+    return Utils::toJsonText(head) + '\n' + keys;
 }
 
 } // namespace
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include <net/reactor.h>
 #include <utils/jsonfield.h>
+#include <utils/jsontext.h>
 
 #include <array>
 #include <cerrno>
@@ -86,8 +87,7 @@
 
 auto PeerLink::send(const Http1::SocketAddress &peer, const nlohmann::json &message) -> void
 {
-    // Names that callers send need not be UTF-8; no model or adapter has such a name.
-    const std::string text = message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string text = Utils::toJsonText(message);
     const sockaddr_in address = toSockaddr(peer);
     // A datagram that cannot be sent is treated as lost; the next one carries newer data.
     ::sendto(d->fd, text.data(), text.size(), MSG_NOSIGNAL,
--- a/src/libs/gateway/placementlease.cpp
+++ b/src/libs/gateway/placementlease.cpp
@@ -2,6 +2,7 @@
 
 #include <utils/boottime.h>
 #include <utils/jsonfield.h>
+#include <utils/jsontext.h>
 
 #include <nlohmann/json.hpp>
 
@@ -97,7 +98,7 @@
                         {"era", era},
                         {"tenure", tenureToJson(m_lease.claimedTenure())}};
     const auto sentAt = Utils::bootTime();
-    m_store.write(m_table, Key, m_lease.expectedVersion(), value.dump(),
+    m_store.write(m_table, Key, m_lease.expectedVersion(), Utils::toJsonText(value),
                   [self = shared_from_this(), sentAt, era](const auto &answer) {
                       if (self->m_isStopped)
                           return;
--- a/src/libs/gateway/versionset.cpp
+++ b/src/libs/gateway/versionset.cpp
@@ -1,6 +1,7 @@
 #include "versionset.h"
 
 #include <utils/jsonfield.h>
+#include <utils/jsontext.h>
 
 #include <algorithm>
 
@@ -36,7 +37,7 @@
     if (std::all_of(version.begin(), version.end(),
                     [](unsigned char c) { return c < firstNonAscii; }))
         return version;
-    const std::string text = json(version).dump(-1, ' ', false, json::error_handler_t::replace);
+    const std::string text = Utils::toJsonText(version);
     const auto read = Utils::parseJson(text);
     return read && *read == version ? version : std::string();
 }
@@ -77,7 +78,7 @@
         document["retiring"] = m_retiring;
     if (m_confirmedIn)
         document["confirmed"] = static_cast<std::uint64_t>(*m_confirmedIn);
-    return document.dump();
+    return Utils::toJsonText(document);
 }
 
 auto VersionSet::names() const -> const std::set<std::string> &
--- a/src/libs/monitoring/metrics.cpp
+++ b/src/libs/monitoring/metrics.cpp
@@ -22,6 +22,8 @@
          "Permits to send to backend servers that named a limit, by result."},
         {"acacia_stream_origins_total", "counter",
          "Streams that were taken up, by how the version that began them was found."},
+        {"acacia_entries_rejected_total", "counter",
+         "Entries of servers that could not be read and were left out."},
         {"acacia_request_seconds", "histogram", "Time from a request's arrival to its last byte."},
         {"acacia_first_byte_seconds", "histogram",
          "Time from a request's arrival to the answer's first byte."},
--- a/src/libs/net/reactor.cpp
+++ b/src/libs/net/reactor.cpp
@@ -4,7 +4,10 @@
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 
+#include <utils/eventlog.h>
+
 #include <algorithm>
+#include <exception>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -15,6 +18,19 @@
 
 namespace Internal {
 
+/// Calls a callback. What it throws is a fault of the program; it is logged and ends the step, not
+/// the process, which serves other callers at the same time.
+template <typename Callback, typename... Arguments>
+auto callGuarded(const Callback &callback, Arguments... arguments) -> void
+{
+    try {
+        callback(arguments...);
+    } catch (const std::exception &fault) {
+        Utils::logEvent(Utils::Event::AssertionFailed,
+                        {{"condition", "no exception"}, {"reason", fault.what()}});
+    }
+}
+
 /// ACE's event handler of one watched descriptor.
 class WatchHandler : public ACE_Event_Handler
 {
@@ -36,7 +52,7 @@
         if (m_retired)
             return 0;
         const auto callback = m_callback;
-        callback(ready);
+        callGuarded(callback, ready);
         return 0;
     }
 
@@ -78,7 +94,7 @@
             const auto callback = std::move(next->second);
             timers.erase(next);
             dueTimes.erase(id);
-            callback();
+            Internal::callGuarded(callback);
         }
     }
 
--- a/src/libs/node/operatorserver.cpp
+++ b/src/libs/node/operatorserver.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <utils/jsonfield.h>
+#include <utils/jsontext.h>
 
 namespace Node {
 
@@ -94,12 +95,13 @@
         exchange->respond(ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                           m_node.metrics().text());
     } else if (path == "/healthz") {
-        exchange->respond(m_node.mayAct() ? ok : unavailable, jsonHeaders, commonStatus().dump());
+        exchange->respond(m_node.mayAct() ? ok : unavailable, jsonHeaders,
+                          Utils::toJsonText(commonStatus()));
     } else if (path == "/status") {
-        exchange->respond(ok, jsonHeaders, fullStatus().dump());
+        exchange->respond(ok, jsonHeaders, Utils::toJsonText(fullStatus()));
     } else if (path.rfind(explainPrefix, 0) == 0) {
         const json found = m_explain(path.substr(explainPrefix.size()));
-        exchange->respond(found.is_null() ? notFound : ok, jsonHeaders, found.dump());
+        exchange->respond(found.is_null() ? notFound : ok, jsonHeaders, Utils::toJsonText(found));
     } else {
         exchange->respond(notFound, jsonHeaders, json{{"error", "unknown path"}}.dump());
     }
--- a/tests/auto/platform/tst_fuzz.cpp
+++ b/tests/auto/platform/tst_fuzz.cpp
@@ -6,6 +6,7 @@
 #include <platform/configurationcodec.h>
 #include <platform/headercodec.h>
 #include <platform/ordercodec.h>
+#include <utils/jsonfield.h>
 
 #include <gtest/gtest.h>
 
@@ -227,6 +228,9 @@
         {"Deadline-Ms", "12000"},
         {"Authorization", "Bearer key"},
         {"Last-Event-Id", "7"},
+        {"Resumes", "9c41d07be2a35f68"},
+        {"Content-Type", "application/json"},
+        {"X-Other", "kept"},
         {"Server-Load", "3,0,8"},
         {"Keep-Alive", "timeout=5"},
         {"Retry-After", "0.5"},
@@ -264,6 +268,12 @@
             EXPECT_GE(request->maxAnswerTokens, 0);
             EXPECT_GE(request->tokens(), 0);
             EXPECT_TRUE(!request->patience || request->patience->count() >= 0);
+            EXPECT_NO_THROW(static_cast<void>(json(request->modelName()).dump()));
+            Gateway::AttemptDetails details;
+            details.backendId = "i-1";
+            details.customer = "county";
+            EXPECT_NO_THROW(encodeBackendRequest(*request, details));
+            EXPECT_NO_THROW(encodeRefusalFields(request->attemptId, {}));
         }
         const auto decoded = decodeAnswer(answer);
         EXPECT_TRUE(!decoded.pause || decoded.pause->count() >= 0);
@@ -303,3 +313,56 @@
         }
     }
 }
+
+// Guards against: an order that can't be written ends the process that holds the lease (review,
+// case 1). Names in it are valid, as all of them come from the decoders above; a mistake there must
+// not end the process either.
+TEST(Fuzz, Orders)
+{
+    Mutator mutator(6);
+    for (int i = 0; i < Rounds; ++i) {
+        Gateway::EngineOrder order;
+        order.model = mutator.bytes("m1");
+        order.adapter = mutator.bytes("a\xc3\xa5");
+        order.holder = mutator.bytes("g1");
+        order.fence = mutator.below(100);
+        if (mutator.below(2) == 0)
+            order.expectedOrders = 7;
+        std::string text;
+        ASSERT_NO_THROW(text = encodeOrder("i-1", order));
+        const auto body = Utils::parseJson(text.substr(text.find("\r\n\r\n") + 4));
+        ASSERT_TRUE(body && body->is_object()) << text.substr(0, 200);
+        EXPECT_NO_THROW(encodeReportRequest("i-1"));
+    }
+}
+
+// What is decoded can be written again: messages to other gateways hold it.
+TEST(Fuzz, DecodedNamesCanBeWritten)
+{
+    Mutator mutator(7);
+    const auto isWritable = [](const std::string &name) {
+        return name.size() <= 200 && Utils::parseJson(json(name).dump());
+    };
+    for (int i = 0; i < Rounds; ++i) {
+        std::vector<std::string> names;
+        if (const auto server = decodeBackend("i-1", mutator.text(entry))) {
+            names = {server->service, server->failureDomain, server->softwareVersion};
+            for (const auto &[model, adapters] : server->models) {
+                names.push_back(model);
+                names.insert(names.end(), adapters.begin(), adapters.end());
+            }
+        }
+        if (const auto decoded = decodeReport(mutator.text(report))) {
+            Gateway::EngineMessage message;
+            message.id = "i-1";
+            message.report = *decoded;
+            EXPECT_NO_THROW(static_cast<void>(message.toJson().dump()));
+        }
+        if (const auto decoded = decodeConfiguration(mutator.text(configuration))) {
+            for (const auto &customer : decoded->customers)
+                names.push_back(customer.name);
+        }
+        for (const std::string &name : names)
+            EXPECT_TRUE(isWritable(name)) << name;
+    }
+}
--- a/tests/auto/platform/tst_oddentries.cpp
+++ b/tests/auto/platform/tst_oddentries.cpp
@@ -244,3 +244,46 @@
     answer = sendRequest(makeRequest("/draft/x", "good", "Model: m1\r\nToken-Count: 10,10\r\n"));
     EXPECT_EQ(answer->status, 200);
 }
+
+// Guards against: a caller's adapter name that is not UTF-8 ends the holder of the placement lease,
+// which orders the adapter (review, case 1).
+TEST_F(OddEntries, NamesThatAreNotUtf8DoNotEndTheLeaseHolder)
+{
+    addEngine("e1", "lm", {"m1"});
+    startReadyGateway();
+    ASSERT_TRUE(runUntil([&] { return !store->value("acaciahall", "placement").empty(); }));
+    wait(300ms);
+    for (const std::string name : {"m1/b\xe5t", "m\xff/a1", "\xe5", "m1/a\x7f"}) {
+        const auto answer = sendRequest(
+            makeRequest("/draft/x", "odd", "Model: " + name + "\r\nToken-Count: 1,1\r\n"));
+        EXPECT_EQ(answer->status, 400) << name;
+    }
+    const auto answer =
+        sendRequest(makeRequest("/draft/x", "good", "Model: m1\r\nToken-Count: 10,10\r\n"));
+    EXPECT_EQ(answer->status, 200);
+}
+
+// Guards against: an entry without some of its fields moves a server to the service that it names
+// (review, ROUTE).
+TEST_F(OddEntries, IncompleteEntryDoesNotMoveAServerToAnotherService)
+{
+    EmulatedEngine &engine = addEngine("e1", "app");
+    EmulatedEngine &other = addEngine("e2", "lm", {"m1"});
+    startReadyGateway();
+    ASSERT_EQ(statusOf("/look/x"), 200);
+    json odd = entryOf("e2");
+    odd["service"] = "app";
+    for (const char *field : {"slots", "version", "coldRemainingMs"})
+        odd.erase(field);
+    store->put("servers", "e2", odd.dump());
+    wait(300ms);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(statusOf("/look/x"), 200);
+    EXPECT_EQ(other.runs(), 0);
+    EXPECT_EQ(engine.runs(), 21);
+    auto answer = std::make_shared<CallerAnswer>();
+    sendOnNewConnection(*answer, metrics, "GET /metrics HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return answer->end.has_value(); }));
+    EXPECT_NE(answer->body.find("acacia_entries_rejected_total{what=\"server\"} 1"),
+              std::string::npos);
+}
--- a/tests/auto/platform/tst_versionrows.cpp
+++ b/tests/auto/platform/tst_versionrows.cpp
@@ -23,6 +23,7 @@
                          {"version", version},
                          {"slots", 4},
                          {"state", "ready"},
+                         {"coldRemainingMs", 0},
                          {"born", 1},
                          {"sequence", 1}})
                        .dump());
