--- a/src/libs/monitoring/metrics.cpp
+++ b/src/libs/monitoring/metrics.cpp
@@ -27,6 +27,8 @@
         {"acacia_waiting_requests", "gauge", "Requests that wait at this gateway, by route."},
         {"acacia_longest_wait_seconds", "gauge",
          "Longest time that one of the waiting requests has waited at this gateway."},
+        {"acacia_entries_rejected_total", "counter",
+         "Entries of servers that could not be read and were left out."},
         {"acacia_request_seconds", "histogram", "Time from a request's arrival to its last byte."},
         {"acacia_first_byte_seconds", "histogram",
          "Time from a request's arrival to the answer's first byte."},
