--- a/src/libs/http1/headscan.cpp
+++ b/src/libs/http1/headscan.cpp
@@ -1,5 +1,8 @@
 #include "headscan.h"
 
+#include <charconv>
+#include <system_error>
+
 namespace Http1 {
 
 namespace {
@@ -37,4 +40,23 @@
     }
 }
 
+auto hasValidStatus(std::string_view head) -> bool
+{
+    constexpr size_t statusDigits = 3;
+    constexpr int lowestStatus = 100;
+    constexpr int switchingProtocols = 101;
+    constexpr int highestStatus = 599;
+    std::string_view line = head.substr(0, head.find('\r'));
+    const auto space = line.find(' ');
+    if (space == std::string_view::npos)
+        return false;
+    line.remove_prefix(space + 1);
+    const std::string_view text = line.substr(0, line.find(' '));
+    int status = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), status);
+    return text.size() == statusDigits && parsed.ec == std::errc()
+        && parsed.ptr == text.data() + text.size() && status >= lowestStatus
+        && status <= highestStatus && status != switchingProtocols;
+}
+
 } // namespace Http1
--- a/src/libs/http1/headscan.h
+++ b/src/libs/http1/headscan.h
@@ -17,4 +17,8 @@
 /// `length` to the size of the head.
 auto scanHead(std::string_view data, size_t &length) -> HeadScan;
 
+/// True if a response's head names a status of exactly three digits, from 100 to 599. The parser
+/// library takes any number of digits and any value. 101 is invalid, as no request asks for it.
+auto hasValidStatus(std::string_view head) -> bool;
+
 } // namespace Http1
--- a/src/libs/http1/messagereader.cpp
+++ b/src/libs/http1/messagereader.cpp
@@ -173,6 +173,10 @@
             error = ReadError::HeadTooLarge;
             return data.size();
         }
+        if (kind == MessageKind::Response && !hasValidStatus(headBytes)) {
+            error = ReadError::Malformed;
+            return data.size();
+        }
         headBytes.resize(length);
         const std::string head = std::move(headBytes);
         headBytes.clear();
