--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -123,8 +123,8 @@
     startSilenceTimer();
     if (!m_attemptBegunAt)
         m_attemptBegunAt = now;
-    if (hasOutlivedBeginning())
-        noteSurvived();
+    if (!m_hasNotedSurvival && hasOutlivedBeginning())
+        noteSurvived(false);
     return isValid;
 }
 
@@ -166,20 +166,17 @@
         && m_context.reactor.now() - *m_attemptBegunAt >= Constants::AnswerBeginningTime;
 }
 
-auto RequestFlow::noteSurvived() -> void
+auto RequestFlow::noteSurvived(bool isWhole) -> void
 {
-    if (m_hasNotedSurvival)
-        return;
     m_hasNotedSurvival = true;
-    m_context.suspects->noteSurvived(m_features);
+    m_context.suspects->noteSurvived(Routing::clearedBy(m_features, isWhole));
 }
 
 /// Notes that the server may have crashed on the request.
 auto RequestFlow::noteLost(bool isCutOff) -> void
 {
-    if (!hasOutlivedBeginning())
-        m_context.onRequestLost(
-            {m_attempt->backendId(), m_serverStartedAtMs, m_features, isCutOff});
+    m_context.onRequestLost({m_attempt->backendId(), m_serverStartedAtMs,
+                             Routing::suspectsOf(m_features, hasOutlivedBeginning()), isCutOff});
 }
 
 auto RequestFlow::handleEnd(AttemptEnd outcome) -> void
@@ -236,7 +233,7 @@
     if (m_answer.endsWithConnection || m_splitter.hasPartialEvent())
         noteLost(m_splitter.hasPartialEvent() || !m_attemptBegunAt);
     else if (!isMalformed)
-        noteSurvived();
+        noteSurvived(true);
     endAttempt(isMalformed || isError ? SendOutcome::Failed : SendOutcome::Good);
     if (isMalformed || isEmptyContinuation()) {
         m_triedServers.insert(server);
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -176,8 +176,8 @@
     std::vector<std::string> parts;
     for (const PromptPart &part : m_request.promptParts)
         parts.push_back(part.id);
-    m_features = Routing::crashFeaturesOf(m_customer ? m_customer->name : std::string(),
-                                          m_request.target, m_request.body, parts);
+    m_features = Routing::withRun(Routing::crashFeaturesOf(
+        m_customer ? m_customer->name : std::string(), m_request.target, m_request.body, parts));
     if (isSuspect()) {
         refuseSuspect();
         return false;
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -90,7 +90,7 @@
     /// True if the answer to the current attempt has begun long enough ago that the server did not
     /// crash on the request.
     auto hasOutlivedBeginning() const -> bool;
-    auto noteSurvived() -> void;
+    auto noteSurvived(bool isWhole) -> void;
     auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> bool;
--- a/src/libs/gateway/suspectexchange.cpp
+++ b/src/libs/gateway/suspectexchange.cpp
@@ -214,13 +214,19 @@
     m_evidence.recordCrash(feature, crash, at, now());
     if (survivedAt)
         m_evidence.noteSurvived(feature, *survivedAt);
-    if (!m_evidence.isConvincing(feature, now()) || m_questions.count(feature) > 0
+    if (!isConvincing(feature) || m_questions.count(feature) > 0
         || m_questions.size() >= MaxQuestions)
         return;
     m_questions[feature] = {0, isFirst(feature) ? now() : now() + SecondDelay};
     scheduleRound();
 }
 
+auto SuspectExchange::isConvincing(const CrashFeature &feature) const -> bool
+{
+    return m_evidence.isConvincing(feature, now())
+        || (!m_survivors.lastAt(feature) && m_evidence.isConvincingIfNew(feature, now()));
+}
+
 auto SuspectExchange::noteSurvived(const Features &features) -> void
 {
     json cleared = json::array();
@@ -510,7 +516,7 @@
     for (auto it = m_questions.begin(); it != m_questions.end();) {
         auto &[feature, question] = *it;
         const bool isDue = now() >= question.dueAt;
-        const bool isAnswered = !m_evidence.isConvincing(feature, now());
+        const bool isAnswered = !isConvincing(feature);
         const bool isDecided = isDue && !isAnswered && question.asked >= QuestionCount;
         if (isDecided)
             decided.push_back(feature);
@@ -519,9 +525,11 @@
             continue;
         }
         if (isDue) {
+            // Any survivor speaks against a feature that counts as new.
+            const bool isNew = !m_evidence.isConvincing(feature, now());
+            const auto since = toMilliseconds(now() - m_evidence.firstCrashAt(feature));
             items.push_back(
-                {{"feature", feature.toString()},
-                 {"sinceMs", toMilliseconds(now() - m_evidence.firstCrashAt(feature))}});
+                {{"feature", feature.toString()}, {"sinceMs", isNew ? MaxMilliseconds : since}});
             ++question.asked;
             question.dueAt =
                 now() + (question.asked < QuestionCount ? QuestionInterval : AnswerTimeout);
@@ -537,7 +545,7 @@
 {
     CrashVerdict verdict;
     verdict.feature = feature;
-    verdict.crashes = m_evidence.crashes(feature, now());
+    verdict.crashes = m_evidence.crashedServers(feature, now());
     verdict.since = m_evidence.firstCrashAt(feature);
     verdict.decidedAt = now();
     if (adopt(verdict))
--- a/src/libs/gateway/suspectexchange.h
+++ b/src/libs/gateway/suspectexchange.h
@@ -83,6 +83,7 @@
     auto now() const -> Utils::TimePoint;
     auto updateRoster() -> void;
     auto requestVerdicts(int repeatsLeft) -> void;
+    auto isConvincing(const Routing::CrashFeature &feature) const -> bool;
     auto isResponsible(const Routing::CrashFeature &feature) const -> bool;
     auto isFirst(const Routing::CrashFeature &feature) const -> bool;
     auto sendTwice(std::function<void()> action) -> void;
--- a/src/libs/routing/crashevidence.cpp
+++ b/src/libs/routing/crashevidence.cpp
@@ -3,6 +3,7 @@
 #include "routingconstants.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace Routing {
 
@@ -11,6 +12,19 @@
 constexpr size_t MaxFeatures = 2048;
 constexpr size_t MaxCrashesOfFeature = 16;
 
+auto thresholdOf(CrashFeature::Kind kind) -> int
+{
+    switch (kind) {
+    case CrashFeature::Kind::Request:
+        return Constants::MaxCrashes;
+    case CrashFeature::Kind::Run:
+        return Constants::MaxCrashesOfRun;
+    case CrashFeature::Kind::Part:
+        break;
+    }
+    return Constants::MaxCrashesOfPart;
+}
+
 } // namespace
 
 auto CrashEvidence::recordCrash(const CrashFeature &feature, const std::string &crash,
@@ -20,14 +34,7 @@
         makeRoom(now);
     Record &record = m_records[feature];
     record.changedAt = now;
-    const bool isCounted =
-        std::any_of(record.crashes.begin(), record.crashes.end(), [&](const auto &known) {
-            const auto distance = std::max(at, known.second) - std::min(at, known.second);
-            return known.first == crash
-                || (feature.kind == CrashFeature::Kind::Part
-                    && distance < Constants::CommonCauseWindow);
-        });
-    if (!isCounted && record.crashes.size() < MaxCrashesOfFeature)
+    if (record.crashes.size() < MaxCrashesOfFeature)
         record.crashes.emplace(crash, at);
 }
 
@@ -60,6 +67,28 @@
 }
 
 auto CrashEvidence::crashes(const CrashFeature &feature, Utils::TimePoint now) const -> int
+{
+    const auto found = m_records.find(feature);
+    if (found == m_records.end() || now - found->second.changedAt > Constants::CrashRecordLifetime)
+        return 0;
+    if (feature.kind != CrashFeature::Kind::Part)
+        return static_cast<int>(found->second.crashes.size());
+    std::vector<Utils::TimePoint> times;
+    for (const auto &[crash, at] : found->second.crashes)
+        times.push_back(at);
+    std::sort(times.begin(), times.end());
+    int count = 0;
+    Utils::TimePoint last;
+    for (const Utils::TimePoint at : times) {
+        if (count > 0 && at - last < Constants::CommonCauseWindow)
+            continue;
+        ++count;
+        last = at;
+    }
+    return count;
+}
+
+auto CrashEvidence::crashedServers(const CrashFeature &feature, Utils::TimePoint now) const -> int
 {
     const auto found = m_records.find(feature);
     if (found == m_records.end() || now - found->second.changedAt > Constants::CrashRecordLifetime)
@@ -69,9 +98,13 @@
 
 auto CrashEvidence::isConvincing(const CrashFeature &feature, Utils::TimePoint now) const -> bool
 {
-    return crashes(feature, now) >= (feature.kind == CrashFeature::Kind::Request
-                                         ? Constants::MaxCrashes
-                                         : Constants::MaxCrashesOfPart);
+    return crashes(feature, now) >= thresholdOf(feature.kind);
+}
+
+auto CrashEvidence::isConvincingIfNew(const CrashFeature &feature, Utils::TimePoint now) const
+    -> bool
+{
+    return crashedServers(feature, now) >= thresholdOf(feature.kind);
 }
 
 auto CrashEvidence::firstCrashAt(const CrashFeature &feature) const -> Utils::TimePoint
--- a/src/libs/routing/crashfeature.cpp
+++ b/src/libs/routing/crashfeature.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 
 namespace Routing {
 
@@ -12,9 +13,28 @@
 /// Parts of one prompt that are considered.
 constexpr size_t MaxParts = 64;
 constexpr char RequestPrefix = 'r';
+constexpr char RunPrefix = 'w';
 constexpr char PartPrefix = 'p';
 constexpr int HexBase = 16;
 
+auto prefixOf(CrashFeature::Kind kind) -> char
+{
+    switch (kind) {
+    case CrashFeature::Kind::Request:
+        return RequestPrefix;
+    case CrashFeature::Kind::Run:
+        return RunPrefix;
+    case CrashFeature::Kind::Part:
+        break;
+    }
+    return PartPrefix;
+}
+
+auto isRun(const CrashFeature &feature) -> bool
+{
+    return feature.kind == CrashFeature::Kind::Run;
+}
+
 } // namespace
 
 auto CrashFeature::toString() const -> std::string
@@ -23,15 +43,21 @@
     std::string digits(maxDigits, '0');
     const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), hash, HexBase).ptr;
     digits.resize(static_cast<size_t>(end - digits.data()));
-    return (kind == Kind::Request ? RequestPrefix : PartPrefix) + digits;
+    return prefixOf(kind) + digits;
 }
 
 auto CrashFeature::fromString(const std::string &text) -> std::optional<CrashFeature>
 {
-    if (text.size() < 2 || (text.front() != RequestPrefix && text.front() != PartPrefix))
-        return {};
     CrashFeature feature;
-    feature.kind = text.front() == RequestPrefix ? Kind::Request : Kind::Part;
+    const auto hasPrefix = [&text](Kind kind) {
+        return text.size() >= 2 && text.front() == prefixOf(kind);
+    };
+    if (hasPrefix(Kind::Run))
+        feature.kind = Kind::Run;
+    else if (hasPrefix(Kind::Part))
+        feature.kind = Kind::Part;
+    else if (!hasPrefix(Kind::Request))
+        return {};
     const char *const end = text.data() + text.size();
     const auto read = std::from_chars(text.data() + 1, end, feature.hash, HexBase);
     if (read.ec != std::errc() || read.ptr != end)
@@ -54,4 +80,30 @@
     return features;
 }
 
+auto withRun(std::vector<CrashFeature> features) -> std::vector<CrashFeature>
+{
+    for (size_t i = 0; i < features.size(); ++i) {
+        if (features[i].kind == CrashFeature::Kind::Request)
+            features.push_back({CrashFeature::Kind::Run, features[i].hash});
+    }
+    return features;
+}
+
+auto suspectsOf(const std::vector<CrashFeature> &features, bool hasOutlivedBeginning)
+    -> std::vector<CrashFeature>
+{
+    auto suspects = features;
+    if (hasOutlivedBeginning)
+        std::erase_if(suspects, std::not_fn(isRun));
+    return suspects;
+}
+
+auto clearedBy(const std::vector<CrashFeature> &features, bool isWhole) -> std::vector<CrashFeature>
+{
+    auto cleared = features;
+    if (!isWhole)
+        std::erase_if(cleared, isRun);
+    return cleared;
+}
+
 } // namespace Routing
--- a/src/libs/routing/crashfeature.h
+++ b/src/libs/routing/crashfeature.h
@@ -12,7 +12,9 @@
 struct CrashFeature
 {
     enum class Kind {
-        Request, ///< Customer, target and body: the same request, repeated.
+        /// Customer, target and body: the same request, repeated, until its answer has begun.
+        Request,
+        Run, ///< The same, for as long as it runs.
         Part, ///< One part of the prompt.
     };
 
@@ -35,4 +37,14 @@
                      const std::string &body, const std::vector<std::string> &parts)
     -> std::vector<CrashFeature>;
 
+/// Adds the feature of the whole run to those of a request.
+auto withRun(std::vector<CrashFeature> features) -> std::vector<CrashFeature>;
+/// The features that a crash is evidence against: what crashes a server at the beginning of an
+/// answer has not done so once the answer goes on, but the run of the request may still do.
+auto suspectsOf(const std::vector<CrashFeature> &features, bool hasOutlivedBeginning)
+    -> std::vector<CrashFeature>;
+/// The features that an answer clears: all of them only if it is whole.
+auto clearedBy(const std::vector<CrashFeature> &features, bool isWhole)
+    -> std::vector<CrashFeature>;
+
 } // namespace Routing
--- a/src/libs/routing/routingconstants.h
+++ b/src/libs/routing/routingconstants.h
@@ -7,10 +7,15 @@
 
 /// Crashes after which a request is refused everywhere.
 constexpr int MaxCrashes = 2;
+/// Crashes after which a request is refused that had run for a while at some of them. Requests that
+/// have nothing to do with a crash run at that time as well, so this is more than for one that
+/// waited for the beginning of its answer. The platform counts from the third crash on.
+constexpr int MaxCrashesOfRun = 3;
 /// Crashes after which a part of prompts is refused everywhere. Requests that have nothing to do
 /// with a crash share parts, so this is more than for a whole request.
 constexpr int MaxCrashesOfPart = 3;
-/// Crashes of several servers within this time may have a common cause.
+/// Crashes of several servers within this time may have a common cause. They count once against a
+/// part that requests are known to have survived.
 constexpr std::chrono::milliseconds CommonCauseWindow(300);
 /// After these times from a verdict on, one request in the whole fleet shows whether the verdict
 /// still holds. The platform allows three requests in all.
--- a/src/libs/routing/survivorlog.cpp
+++ b/src/libs/routing/survivorlog.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Features in each of the two halves of the log.
-constexpr size_t MaxFeatures = 8192;
+constexpr size_t MaxFeatures = 16384;
 
 } // namespace
 
--- a/tests/auto/platform/tst_crashparts.cpp
+++ b/tests/auto/platform/tst_crashparts.cpp
@@ -164,3 +164,25 @@
     EXPECT_THAT(checker.violations(), testing::IsEmpty());
     EXPECT_EQ(calls.back()->answer.status, 503);
 }
+
+// Guards against: a repeated request that crashes its engines some time after the first event, when
+// it counts as survived, is never refused (review, case 2).
+TEST_F(CrashingPart, RepeatedRequestIsFoundThatCrashesLate)
+{
+    checker = CrashPartChecker(CrashPartChecker::CountedCrashOfRequest);
+    start(4, 6, "last");
+    for (const auto &engine : engines) {
+        engine->behaviour.crashDelay = 300ms;
+        engine->behaviour.events = 12;
+    }
+    for (int i = 0; i < 20; ++i) {
+        send("/draft/x", true, "f1:10,d1:5,last:5");
+        const std::string own = std::to_string(i);
+        for (int sound = 0; sound < 3; ++sound)
+            send("/draft/x" + own + std::to_string(sound), false, "f1:10,d1:5,u" + own + ":5");
+        waitUntil(loop->now() + 450ms);
+    }
+    waitForAnswers();
+    EXPECT_THAT(checker.violations(), testing::IsEmpty());
+    EXPECT_EQ(calls[calls.size() - 4]->answer.status, 503);
+}
