--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -338,19 +338,8 @@
 
 auto BackendRegistry::hasPossibleServer(const BackendRequirements &requirements) const -> bool
 {
-    bool hasSuitable = false;
-    bool isHeldElsewhere = false;
-    for (const auto &[id, entry] : m_entries) {
-        const bool isOfService =
-            entry.server.service == requirements.service && entry.server.isUsable();
-        const bool isHolder = isOfService && holds(entry, requirements);
-        const bool suits = isSuitable(entry, requirements);
-        if (suits && isHolder)
-            return true;
-        hasSuitable = hasSuitable || suits;
-        isHeldElsewhere = isHeldElsewhere || isHolder;
-    }
-    return hasSuitable && !isHeldElsewhere;
+    return std::any_of(m_entries.begin(), m_entries.end(),
+                       [&](const auto &item) { return isSuitable(item.second, requirements); });
 }
 
 auto BackendRegistry::isHeld(const BackendRequirements &requirements) const -> bool
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -103,8 +103,7 @@
                             Utils::TimePoint now) const -> std::optional<std::string>;
     /// True if a server may serve the request without a permit, now or after a load or a pause.
     auto hasServerWithoutLimit(const BackendRequirements &requirements) const -> bool;
-    /// True if a server may serve the request, now or later: it holds the model, or may load it as
-    /// no other server holds it.
+    /// True if a server may serve the request, now or after it has loaded the model.
     auto hasPossibleServer(const BackendRequirements &requirements) const -> bool;
     /// True if any usable server holds the model, with or without free capacity.
     auto isHeld(const BackendRequirements &requirements) const -> bool;
--- a/src/libs/gateway/demandtracker.h
+++ b/src/libs/gateway/demandtracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <placement/versiondemand.h>
 #include <utils/timepoint.h>
 
 #include <map>
@@ -42,6 +43,8 @@
     auto noteWaitingEnded(const ModelKey &key) -> void;
     auto noteRunning(const ModelKey &key, int change) -> void;
 
+    /// Requests that wait for a model at one version; `demand` counts them, too.
+    auto versions() -> Placement::VersionDemand & { return m_versions; }
     /// Models that were requested in the last seconds.
     auto demand(Utils::TimePoint now) -> std::vector<ModelDemand>;
 
@@ -58,6 +61,7 @@
     static auto decay(Entry &entry, Utils::TimePoint now) -> void;
 
     std::map<ModelKey, Entry> m_entries;
+    Placement::VersionDemand m_versions;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/dutymessages.cpp
+++ b/src/libs/gateway/dutymessages.cpp
@@ -72,13 +72,17 @@
 
 auto DemandMessage::toJson() const -> json
 {
-    return {{"kind", Kind}, {"name", name}, {"seen", storeViewToJson(seen)}, {"demand", demand}};
+    return {{"kind", Kind},
+            {"name", name},
+            {"seen", storeViewToJson(seen)},
+            {"demand", demand},
+            {"versions", versions}};
 }
 
 auto DemandMessage::fromJson(const json &message) -> DemandMessage
 {
     return {fieldOr(message, "name", std::string()), storeViewFromJson(message),
-            message.value("demand", json::array())};
+            message.value("demand", json::array()), message.value("versions", json::array())};
 }
 
 auto EngineMessage::toJson() const -> json
--- a/src/libs/gateway/dutymessages.h
+++ b/src/libs/gateway/dutymessages.h
@@ -47,6 +47,7 @@
     std::string name;
     StoreView seen;
     nlohmann::json demand; ///< In the format of DemandAggregator.
+    nlohmann::json versions; ///< In that of VersionDemand; earlier versions send none.
 
     auto toJson() const -> nlohmann::json;
     static auto fromJson(const nlohmann::json &message) -> DemandMessage;
--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -97,14 +97,22 @@
 }
 
 auto EngineController::toPlannedEngine(const BackendServer &server,
-                                       const UnansweredOrders::Reserve &reserve) const
+                                       const Placement::UnansweredOrders::Reserve &reserve) const
     -> PlannedEngine
 {
     PlannedEngine engine;
     engine.id = m_id;
+    engine.softwareVersion = server.softwareVersion;
     engine.reserve = reserve;
     for (const auto &[model, adapters] : m_state.models)
         engine.models.insert(model);
+    const auto addAdapter = [&engine](const std::string &name) {
+        engine.adapterModels.push_back(name.substr(0, name.find('/')));
+    };
+    for (const auto &[model, adapters] : m_state.models)
+        engine.adapterModels.insert(engine.adapterModels.end(), adapters.size(), model);
+    std::for_each(m_state.loadingAdapters.begin(), m_state.loadingAdapters.end(), addAdapter);
+    std::for_each(m_unloadingAdapters.begin(), m_unloadingAdapters.end(), addAdapter);
     engine.readySince = m_readySince;
     if (m_pendingLoad) {
         engine.loadingModel = m_pendingLoad->model;
@@ -312,9 +320,8 @@
 }
 
 auto EngineController::requestAdapter(const std::string &model, const std::string &adapter,
-                                      int adapterSlots, TimePoint now) -> void
+                                      TimePoint now) -> void
 {
-    m_adapterSlots = adapterSlots;
     if (!isAdapterQueued(model, adapter) && m_adapterQueue.size() < MaxQueuedAdapters)
         m_adapterQueue.push_back({model, adapter, now});
     tick(now);
@@ -330,9 +337,14 @@
         m_adapterQueue.pop_front();
         return;
     }
+    const AdapterRoom room = m_events.adapterRoom(model);
+    if (room == AdapterRoom::None) {
+        m_adapterQueue.pop_front(); // Another engine may have room by now.
+        return;
+    }
     EngineOrder order;
     order.model = model;
-    if (adapterCount() >= m_adapterSlots) {
+    if (room == AdapterRoom::AfterUnload) {
         std::string oldestModel;
         std::string oldestAdapter;
         // An adapter that has waited long replaces one in use, which is unloaded after its last
--- a/src/libs/gateway/enginecontroller.h
+++ b/src/libs/gateway/enginecontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendserver.h"
+#include "enginememory.h"
 #include "swapplanner.h"
 #include "wireformat.h"
 
@@ -51,6 +52,8 @@
         /// Called right before an order is sent and while it is under way. An unset result forbids
         /// it.
         std::function<std::optional<OrderAuthority>()> authority;
+        /// Whether one more adapter of the model fits beside what the engine holds and was ordered.
+        std::function<AdapterRoom(const std::string &model)> adapterRoom;
     };
 
     EngineController(GatewayContext &context, std::string id, Events events);
@@ -64,7 +67,8 @@
     /// True if no order can be sent now.
     auto isBusy() const -> bool;
     auto toPlannedEngine(const BackendServer &server,
-                         const UnansweredOrders::Reserve &reserve) const -> PlannedEngine;
+                         const Placement::UnansweredOrders::Reserve &reserve) const
+        -> PlannedEngine;
     auto state() const -> const EngineReport & { return m_state; }
 
     /// `storeLoads` is the number of concurrent loads from the weight store, including this one; 0
@@ -72,10 +76,9 @@
     auto load(const std::string &model, std::chrono::milliseconds expected, int storeLoads,
               Utils::TimePoint now) -> void;
     auto unload(const std::string &model, Utils::TimePoint now) -> void;
-    /// Queues the load of an adapter; if all slots are taken, it replaces the least recently used
-    /// one.
-    auto requestAdapter(const std::string &model, const std::string &adapter, int adapterSlots,
-                        Utils::TimePoint now) -> void;
+    /// Queues the load of an adapter; if it has no room, it replaces the least recently used one.
+    auto requestAdapter(const std::string &model, const std::string &adapter, Utils::TimePoint now)
+        -> void;
     /// True if the adapter is held, being loaded or queued.
     auto isAdapterHeldOrRequested(const std::string &model, const std::string &adapter) const
         -> bool;
@@ -151,7 +154,6 @@
     std::set<std::string> m_unloadingAdapters;
     Utils::TimePoint m_nextUnloadingCheck;
     std::string m_loadingAdapter; ///< As "model/adapter", while its order is unanswered.
-    int m_adapterSlots = 0;
     std::unique_ptr<BackendAttempt> m_call;
     std::optional<OrderUnderWay> m_orderUnderWay; ///< Carried by `m_call`.
     int m_callStatus = 0;
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -7,6 +7,7 @@
 #include <utils/eventlog.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace Gateway {
 
@@ -20,6 +21,17 @@
     return controllerKey.substr(0, controllerKey.rfind('@'));
 }
 
+/// The engine's state with the start of the incarnation that it is of, also if its report tells
+/// none.
+auto stateOf(const std::string &controllerKey, const EngineController &controller) -> EngineReport
+{
+    EngineReport state = controller.state();
+    const auto startedAtMs = std::stoll(controllerKey.substr(controllerKey.rfind('@') + 1));
+    if (startedAtMs > 0)
+        state.startedAtMs = startedAtMs;
+    return state;
+}
+
 } // namespace
 
 EnginePlacement::EnginePlacement(GatewayContext &context, milliseconds loadWindow, Events events)
@@ -39,7 +51,8 @@
     return m_context.reactor.now();
 }
 
-auto EnginePlacement::run(const std::map<ModelKey, TotalDemand> &demand) -> void
+auto EnginePlacement::run(const std::map<ModelKey, TotalDemand> &demand,
+                          const WaitingAtVersion &atVersion) -> void
 {
     syncControllers();
     const TimePoint at = now();
@@ -49,8 +62,8 @@
         return;
     for (const auto &[name, service] : m_context.configuration->services) {
         if (service.engine) {
-            placeModels(name, *service.engine, demand);
-            placeAdapters(name, *service.engine, demand);
+            placeModels(name, *service.engine, demand, atVersion);
+            placeAdapters(name, demand, atVersion);
         }
     }
 }
@@ -66,7 +79,7 @@
 {
     for (const auto &[key, controller] : m_controllers) {
         if (controller->isKnown())
-            visitor(idOf(key), controller->state());
+            visitor(idOf(key), stateOf(key, *controller));
     }
 }
 
@@ -76,7 +89,7 @@
     if (found == m_controllers.end())
         return;
     m_context.board.applyReport(id, found->second->state());
-    m_events.onEngineChanged(id, found->second->state());
+    m_events.onEngineChanged(id, stateOf(key, *found->second));
 }
 
 /// Keeps one controller for each listed model engine that is not leaving.
@@ -105,16 +118,18 @@
         };
         events.onOrderSent = [this, alive = m_alive, id = server->id,
                               startedAtMs = server->startedAtMs](const EngineOrder &order) {
-            if (*alive)
-                m_unansweredOrders.noteSent(id, startedAtMs, order, weightsOf(id, order.model),
-                                            now());
+            if (*alive && order.kind == EngineOrder::Kind::Load)
+                m_unansweredOrders.noteSent(id, startedAtMs, loadOf(id, order), now());
         };
         events.onOrderAnswered = [this, alive = m_alive,
                                   id = server->id](const EngineOrder &order) {
-            if (*alive)
-                m_unansweredOrders.noteAnswered(id, order);
+            if (*alive && order.kind == EngineOrder::Kind::Load)
+                m_unansweredOrders.noteAnswered(id, loadOf(id, order));
         };
         events.authority = m_events.authority;
+        events.adapterRoom = [this, alive = m_alive, key](const std::string &model) {
+            return *alive ? adapterRoom(key, model) : AdapterRoom::None;
+        };
         m_controllers.emplace(
             key, std::make_unique<EngineController>(m_context, server->id, std::move(events)));
     }
@@ -128,24 +143,42 @@
                       [](const auto &item) { return item.second->isLoadingFromStore(); }));
 }
 
-auto EnginePlacement::reserveFor(const BackendServer &server) const -> UnansweredOrders::Reserve
+auto EnginePlacement::reserveFor(const BackendServer &server) const
+    -> Placement::UnansweredOrders::Reserve
 {
     return m_unansweredOrders.reserveFor(server.id, server.startedAtMs,
                                          m_context.board.restartedAt(server.id), now());
 }
 
-/// Weights of a model in MB; 0 if the engine's service doesn't describe it, as it is then not
-/// loaded.
-auto EnginePlacement::weightsOf(const std::string &engine, const std::string &model) const -> double
+auto EnginePlacement::descriptionOf(const std::string &engine) const -> const EngineDescription *
 {
     const BackendServer *server = m_context.board.find(engine);
     const Service *service = server && m_context.configuration
         ? m_context.configuration->findService(server->service)
         : nullptr;
-    if (!service || !service->engine)
-        return 0;
-    const auto found = service->engine->models.find(model);
-    return found == service->engine->models.end() ? 0 : found->second.weightsMb;
+    return service && service->engine ? &*service->engine : nullptr;
+}
+
+auto EnginePlacement::loadOf(const std::string &engine, const EngineOrder &order) const
+    -> Placement::UnansweredOrders::Load
+{
+    const auto *description = descriptionOf(engine);
+    const double memoryMb = !description ? 0
+        : order.adapter.empty()          ? weightsOf(*description, order.model)
+                                         : adapterMemoryOf(*description, order.model);
+    return {order.expectedOrders.value_or(0), !order.adapter.empty(), memoryMb};
+}
+
+auto EnginePlacement::adapterRoom(const std::string &key, const std::string &model) const
+    -> AdapterRoom
+{
+    const auto controller = m_controllers.find(key);
+    const BackendServer *server = m_context.board.find(idOf(key));
+    const auto *description = descriptionOf(idOf(key));
+    if (controller == m_controllers.end() || !server || !description)
+        return AdapterRoom::None;
+    return adapterRoomOf(*description,
+                         controller->second->toPlannedEngine(*server, reserveFor(*server)), model);
 }
 
 auto EnginePlacement::storeLoadsAllowed(const EngineDescription &description) -> int
@@ -160,7 +193,8 @@
 }
 
 auto EnginePlacement::placeModels(const std::string &service, const EngineDescription &description,
-                                  const std::map<ModelKey, TotalDemand> &demand) -> void
+                                  const std::map<ModelKey, TotalDemand> &demand,
+                                  const WaitingAtVersion &atVersion) -> void
 {
     SwapPlanner::Input input;
     input.description = &description;
@@ -184,6 +218,10 @@
         if (key.adapter.empty() || !m_context.board.isHeld({service, key.model, {}, {}, {}}))
             sum.waiting += total.waiting;
     }
+    for (const auto &[key, waiting] : atVersion) {
+        if (key.service == service)
+            input.waitingAtVersion[{key.model, key.softwareVersion}] += waiting;
+    }
     input.storeLoadsAllowed = storeLoadsAllowed(description);
     for (const PlannedOrder &order : m_planners[service].plan(input))
         sendOrder(order, *byId.at(order.engine), description);
@@ -215,18 +253,10 @@
     controller.load(order.model, expected, concurrentLoads, now());
 }
 
-auto EnginePlacement::isAdapterRequested(const ModelKey &key) const -> bool
-{
-    return std::any_of(m_controllers.begin(), m_controllers.end(), [&key](const auto &item) {
-        return item.second->isAdapterHeldOrRequested(key.model, key.adapter);
-    });
-}
-
-/// Orders each adapter with waiting requests from the engine that holds its model and has the
-/// fewest adapters, preferring engines that accept the order now.
+/// Orders the adapters with waiting requests.
 auto EnginePlacement::placeAdapters(const std::string &service,
-                                    const EngineDescription &description,
-                                    const std::map<ModelKey, TotalDemand> &demand) -> void
+                                    const std::map<ModelKey, TotalDemand> &demand,
+                                    const WaitingAtVersion &atVersion) -> void
 {
     const auto isInUse = [&](const std::string &model, const std::string &adapter) {
         const auto found = demand.find({service, model, adapter});
@@ -235,32 +265,46 @@
     for (auto &[key, controller] : m_controllers)
         controller->noteAdaptersInUse(isInUse, now());
     for (const auto &[key, total] : demand) {
-        if (key.service != service || key.adapter.empty() || total.waiting == 0
-            || m_context.board.isHeld({service, key.model, key.adapter, {}, {}})
-            || isAdapterRequested(key))
+        if (key.service == service && total.waiting > 0)
+            placeAdapter({service, key.model, key.adapter, {}});
+    }
+    for (const auto &[key, waiting] : atVersion) {
+        if (key.service == service)
+            placeAdapter(key);
+    }
+}
+
+/// Orders the adapter, unless it is held or ordered, from the engine that holds its model and has
+/// the fewest adapters, preferring engines that accept the order now. Where a version is named,
+/// only its engines count.
+auto EnginePlacement::placeAdapter(const Placement::VersionDemand::Key &key) -> void
+{
+    if (key.adapter.empty())
+        return;
+    EngineController *best = nullptr;
+    std::tuple<bool, AdapterRoom, int> bestRank;
+    for (auto &[controllerKey, controller] : m_controllers) {
+        const BackendServer *server = m_context.board.find(idOf(controllerKey));
+        if (!server || server->service != key.service
+            || (!key.softwareVersion.empty() && server->softwareVersion != key.softwareVersion))
             continue;
-        EngineController *best = nullptr;
-        const BackendServer *bestServer = nullptr;
-        const auto rank = [](const EngineController &controller) {
-            return std::pair(!controller.acceptsAdapterOrders(), controller.adapterCount());
-        };
-        for (auto &[controllerKey, controller] : m_controllers) {
-            const BackendServer *server = m_context.board.find(idOf(controllerKey));
-            if (!server || server->service != service || !controller->isKnown()
-                || controller->state().models.count(key.model) == 0)
-                continue;
-            if (!best || rank(*controller) < rank(*best)) {
-                best = controller.get();
-                bestServer = server;
-            }
-        }
-        if (!best)
+        const auto held = server->models.find(key.model);
+        const bool isHeld = server->isUsable() && held != server->models.end()
+            && held->second.count(key.adapter) > 0;
+        if (isHeld || controller->isAdapterHeldOrRequested(key.model, key.adapter))
+            return;
+        if (!controller->isKnown() || controller->state().models.count(key.model) == 0)
             continue;
-        const auto reserve = reserveFor(*bestServer);
-        if (!reserve.blocksAllLoads)
-            best->requestAdapter(key.model, key.adapter,
-                                 description.adapterSlots - reserve.adapters, now());
+        const auto room = adapterRoom(controllerKey, key.model);
+        const std::tuple rank(!controller->acceptsAdapterOrders(), room,
+                              controller->adapterCount());
+        if (room != AdapterRoom::None && (!best || rank < bestRank)) {
+            best = controller.get();
+            bestRank = rank;
+        }
     }
+    if (best)
+        best->requestAdapter(key.model, key.adapter, now());
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/engineplacement.h
+++ b/src/libs/gateway/engineplacement.h
@@ -2,9 +2,9 @@
 
 #include "demandtracker.h"
 #include "enginecontroller.h"
-#include "storeloadlimiter.h"
 #include "swapplanner.h"
-#include "unansweredorders.h"
+
+#include <placement/storeloadlimiter.h>
 
 #include <chrono>
 #include <deque>
@@ -22,6 +22,8 @@
 class EnginePlacement
 {
 public:
+    using WaitingAtVersion = std::map<Placement::VersionDemand::Key, int>;
+
     struct Events
     {
         /// Called right before each order is sent.
@@ -35,7 +37,8 @@
     ~EnginePlacement();
 
     /// Updates the state of all engines and sends the orders that the demand requires.
-    auto run(const std::map<ModelKey, TotalDemand> &demand) -> void;
+    auto run(const std::map<ModelKey, TotalDemand> &demand, const WaitingAtVersion &atVersion)
+        -> void;
     /// Gives up the orders under way that have lost their authority.
     auto checkOrdersUnderWay() -> void;
     /// Calls `visitor` for each engine with a known state.
@@ -46,16 +49,20 @@
     auto syncControllers() -> void;
     auto engineChanged(const std::string &key, const std::string &id) -> void;
     auto runningStoreLoads() const -> int;
-    auto reserveFor(const BackendServer &server) const -> UnansweredOrders::Reserve;
-    auto weightsOf(const std::string &engine, const std::string &model) const -> double;
+    auto reserveFor(const BackendServer &server) const -> Placement::UnansweredOrders::Reserve;
+    auto descriptionOf(const std::string &engine) const -> const EngineDescription *;
+    auto loadOf(const std::string &engine, const EngineOrder &order) const
+        -> Placement::UnansweredOrders::Load;
+    auto adapterRoom(const std::string &key, const std::string &model) const -> AdapterRoom;
     auto storeLoadsAllowed(const EngineDescription &description) -> int;
     auto placeModels(const std::string &service, const EngineDescription &description,
-                     const std::map<ModelKey, TotalDemand> &demand) -> void;
+                     const std::map<ModelKey, TotalDemand> &demand,
+                     const WaitingAtVersion &atVersion) -> void;
     auto sendOrder(const PlannedOrder &order, EngineController &controller,
                    const EngineDescription &description) -> void;
-    auto isAdapterRequested(const ModelKey &key) const -> bool;
-    auto placeAdapters(const std::string &service, const EngineDescription &description,
-                       const std::map<ModelKey, TotalDemand> &demand) -> void;
+    auto placeAdapters(const std::string &service, const std::map<ModelKey, TotalDemand> &demand,
+                       const WaitingAtVersion &atVersion) -> void;
+    auto placeAdapter(const Placement::VersionDemand::Key &key) -> void;
     auto now() const -> Utils::TimePoint;
 
     GatewayContext &m_context;
@@ -63,8 +70,8 @@
     Events m_events;
     std::map<std::string, std::unique_ptr<EngineController>> m_controllers; ///< By id and start.
     std::map<std::string, SwapPlanner> m_planners; ///< By service.
-    UnansweredOrders m_unansweredOrders;
-    StoreLoadLimiter m_storeLoadLimiter;
+    Placement::UnansweredOrders m_unansweredOrders;
+    Placement::StoreLoadLimiter m_storeLoadLimiter;
     std::deque<Utils::TimePoint> m_storeLoadStarts; ///< Within `m_loadWindow`.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -372,7 +372,8 @@
             }
             return;
         }
-        placement->run(aggregator.total(context.demand.demand(now()), now()));
+        placement->run(aggregator.total(context.demand.demand(now()), now()),
+                       context.demand.versions().total(now()));
         const auto took = now() - at;
         nextPlanning =
             now() + std::max<Utils::Duration>(took * PlanningTimeDivisor, MinPlanningInterval);
@@ -402,7 +403,8 @@
         if (holder)
             return link.send(*holder,
                              DemandMessage{own.name, ownStoreView(),
-                                           DemandAggregator::toJson(context.demand.demand(now()))}
+                                           DemandAggregator::toJson(context.demand.demand(now())),
+                                           context.demand.versions().toJson()}
                                  .toJson());
         if (wasLastHolder)
             reportWithoutLease();
@@ -480,6 +482,7 @@
         if (!isHolder && !wasLastHolder)
             return;
         const bool isNew = aggregator.update(sender, message.demand, now());
+        context.demand.versions().update(sender.toString(), message.versions, now());
         handlePeerStoreView(message.seen);
         if (!isHolder)
             return;
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -330,6 +330,10 @@
     if (!m_needsModel)
         return;
     m_context.demand.noteWaiting(m_modelKey, m_context.reactor.now());
+    if (m_streamVersion && !m_streamVersion->empty()) {
+        m_awaitedAtVersion = {m_service, m_request.model, m_request.adapter, *m_streamVersion};
+        m_context.demand.versions().noteWaiting(*m_awaitedAtVersion, 1);
+    }
     m_context.onModelNeeded();
 }
 
@@ -365,6 +369,9 @@
     m_context.requestQueue.remove(this);
     if (m_needsModel)
         m_context.demand.noteWaitingEnded(m_modelKey);
+    if (m_awaitedAtVersion)
+        m_context.demand.versions().noteWaiting(*m_awaitedAtVersion, -1);
+    m_awaitedAtVersion.reset();
 }
 
 /// Requests a permit if the request can only be sent to a server that has named a limit.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -127,6 +127,7 @@
     std::vector<Routing::CrashFeature> m_features;
     std::optional<Routing::CrashVerdict> m_verdict; ///< That the request is refused for.
     ModelKey m_modelKey;
+    std::optional<Placement::VersionDemand::Key> m_awaitedAtVersion; ///< As noted while waiting.
 
     Utils::TimePoint m_arrivedAt;
     Utils::TimePoint m_deadline;
--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -1,5 +1,7 @@
 #include "swapplanner.h"
 
+#include "enginememory.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -58,14 +60,6 @@
     return largest * description.adapterSlots;
 }
 
-auto weightsOf(const EngineDescription &description, const std::string &model) -> double
-{
-    const auto found = description.models.find(model);
-    // An engine may hold a model that the configuration no longer lists; assume that it fills the
-    // engine.
-    return found == description.models.end() ? description.weightsMb : found->second.weightsMb;
-}
-
 auto isLoadingFromStore(const PlannedEngine &engine) -> bool
 {
     return !engine.loadingModel.empty() && engine.copiesInMemory.count(engine.loadingModel) == 0
@@ -155,20 +149,19 @@
         candidate.seconds = toSeconds(model.storeLoadTime);
         candidate.isFromStore = true;
     }
-    const double availableMb = description.weightsMb - snapshot.adapterReserveMb;
-    if (engine.reserve.blocksAllLoads || engine.reserve.lateMb + model.weightsMb > availableMb)
+    auto ledger = ledgerOf(description, engine);
+    ledger.keepForAdapters(snapshot.adapterReserveMb);
+    if (!ledger.mayFitModel(model.weightsMb))
         return {};
-    double freeMb = availableMb - engine.reserve.weightsMb;
-    for (const std::string &held : engine.models)
-        freeMb -= weightsOf(description, held);
+    double missingMb = ledger.missingForModel(model.weightsMb);
     for (const auto &[evictionCost, victim] : snapshot.victims.at(engine.id)) {
-        if (freeMb >= model.weightsMb)
+        if (missingMb <= 0)
             break;
-        freeMb += weightsOf(description, victim);
+        missingMb -= weightsOf(description, victim);
         candidate.evictionCost += evictionCost;
         candidate.victims.push_back(victim);
     }
-    if (freeMb < model.weightsMb || candidate.evictionCost * MinGain > benefit)
+    if (missingMb > 0 || candidate.evictionCost * MinGain > benefit)
         return {};
     return candidate;
 }
@@ -200,12 +193,39 @@
         }
         proposals.push_back(proposal);
     }
+    for (LoadProposal &proposal : versionProposals(input))
+        proposals.push_back(std::move(proposal));
     std::stable_sort(
         proposals.begin(), proposals.end(),
         [](const LoadProposal &a, const LoadProposal &b) { return a.benefit > b.benefit; });
     return proposals;
 }
 
+/// Proposes models that continuations of streams await at a version none of whose engines holds
+/// them.
+auto SwapPlanner::versionProposals(const Input &input) const -> std::vector<LoadProposal>
+{
+    std::vector<LoadProposal> proposals;
+    for (const auto &[key, waiting] : input.waitingAtVersion) {
+        const auto &[name, version] = key;
+        const auto model = input.description->models.find(name);
+        const bool isHeld =
+            std::any_of(input.engines.begin(), input.engines.end(), [&key](const auto &engine) {
+                return engine.models.count(key.first) > 0 && engine.softwareVersion == key.second;
+            });
+        if (isHeld || model == input.description->models.end())
+            continue;
+        LoadProposal proposal;
+        proposal.model = &model->second;
+        proposal.benefit = WaitingWeight * waiting;
+        proposal.reason = "continuation";
+        proposal.isUrgent = true;
+        proposal.softwareVersion = version;
+        proposals.push_back(proposal);
+    }
+    return proposals;
+}
+
 /// Proposes models with fewer copies than their demand requires.
 auto SwapPlanner::prefetchProposals(const Input &input, const Snapshot &snapshot) const
     -> std::vector<LoadProposal>
@@ -238,9 +258,8 @@
 {
     if (proposal.longestWaitMs > MaxWaitForBusyEngineMs)
         return false;
-    const std::string &name = proposal.model->name;
     return std::any_of(input.engines.begin(), input.engines.end(), [&](const auto &engine) {
-        if (!engine.isBusy || isLoadingFromStore(engine) || engine.models.count(name) > 0)
+        if (!engine.isBusy || isLoadingFromStore(engine) || !proposal.suits(engine))
             return false;
         const auto candidate = evaluate(input, snapshot, engine, *proposal.model, proposal.benefit);
         return candidate && !candidate->isFromStore;
@@ -273,8 +292,7 @@
         return true;
     std::optional<Candidate> best;
     for (const PlannedEngine &engine : input.engines) {
-        if (engine.isBusy || round.orderedEngines.count(engine.id) > 0
-            || engine.models.count(proposal.model->name) > 0)
+        if (engine.isBusy || round.orderedEngines.count(engine.id) > 0 || !proposal.suits(engine))
             continue;
         auto candidate = evaluate(input, snapshot, engine, *proposal.model, proposal.benefit);
         if (!candidate || candidate->isFromStore)
@@ -318,7 +336,7 @@
         if (!candidate)
             continue;
         ++eligibleEngines;
-        if (!candidate->isFromStore || engine.models.count(proposal.model->name) > 0)
+        if (!candidate->isFromStore || !proposal.suits(engine))
             continue;
         if (needsFreeDisk && snapshot.freeDiskMb.at(engine.id) < proposal.model->weightsMb)
             continue;
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "configuration.h"
-#include "unansweredorders.h"
 
+#include <placement/unansweredorders.h>
 #include <utils/timepoint.h>
 
 #include <map>
@@ -26,11 +26,14 @@
 struct PlannedEngine
 {
     std::string id;
+    std::string softwareVersion; ///< Empty if unknown.
     std::set<std::string> models; ///< Held, or being loaded by an accepted order.
     std::map<std::string, Utils::TimePoint> readySince; ///< For each held model, if known.
     std::string loadingModel; ///< The model that is being loaded; empty if none.
+    /// The model of each adapter that takes a slot: held, being loaded, or not yet unloaded.
+    std::vector<std::string> adapterModels;
     bool isBusy = false; ///< Accepts no orders at the moment.
-    UnansweredOrders::Reserve reserve; ///< Memory that must not be used.
+    Placement::UnansweredOrders::Reserve reserve; ///< Memory that must not be used.
     std::set<std::string> copiesInMemory;
     std::set<std::string> copiesOnDisk;
 };
@@ -58,6 +61,8 @@
         const EngineDescription *description = nullptr;
         std::vector<PlannedEngine> engines;
         std::map<std::string, TotalDemand> demand;
+        /// Requests that wait for a model at one software version, by model and version.
+        std::map<std::pair<std::string, std::string>, int> waitingAtVersion;
         int storeLoadsAllowed = 0; ///< Number of loads from the weight store that may start now.
         Utils::TimePoint now;
     };
@@ -83,6 +88,13 @@
         std::string reason;
         bool isUrgent = false; ///< Requests are waiting and no engine holds the model.
         double longestWaitMs = 0;
+        std::string softwareVersion; ///< Only engines of this version; any if empty.
+
+        auto suits(const PlannedEngine &engine) const -> bool
+        {
+            return engine.models.count(model->name) == 0
+                && (softwareVersion.empty() || engine.softwareVersion == softwareVersion);
+        }
     };
 
     /// Decisions made so far in one planning round.
@@ -114,6 +126,7 @@
     auto makeSnapshot(const Input &input) const -> Snapshot;
     auto demandProposals(const Input &input, const Snapshot &snapshot) const
         -> std::vector<LoadProposal>;
+    auto versionProposals(const Input &input) const -> std::vector<LoadProposal>;
     auto prefetchProposals(const Input &input, const Snapshot &snapshot) const
         -> std::vector<LoadProposal>;
     auto hasCopyAtBusyEngine(const Input &input, const Snapshot &snapshot,
--- a/src/libs/gateway/unansweredorders.cpp
+++ b/src/libs/placement/unansweredorders.cpp
@@ -1,8 +1,6 @@
 #include "unansweredorders.h"
 
-#include "wireformat.h"
-
-namespace Gateway {
+namespace Placement {
 
 using Utils::TimePoint;
 
@@ -18,24 +16,21 @@
 { }
 
 auto UnansweredOrders::noteSent(const std::string &engine, std::int64_t engineStartedAtMs,
-                                const EngineOrder &order, double weightsMb, TimePoint now) -> void
+                                const Load &load, TimePoint now) -> void
 {
     auto &sent = m_sent[engine];
     std::erase_if(sent, [now](const SentLoad &one) { return one.until <= now; });
-    if (order.kind == EngineOrder::Kind::Load)
-        sent.push_back({engineStartedAtMs, order.expectedOrders.value_or(0), !order.adapter.empty(),
-                        order.adapter.empty() ? weightsMb : 0, now + MaxExecutionDelay});
+    sent.push_back({engineStartedAtMs, load, now + MaxExecutionDelay});
 }
 
-auto UnansweredOrders::noteAnswered(const std::string &engine, const EngineOrder &order) -> void
+auto UnansweredOrders::noteAnswered(const std::string &engine, const Load &load) -> void
 {
     const auto found = m_sent.find(engine);
     if (found == m_sent.end())
         return;
     // An engine gets one order at a time, so the answer belongs to the newest.
     auto &sent = found->second;
-    if (order.kind == EngineOrder::Kind::Load && !sent.empty()
-        && sent.back().expectedOrders == order.expectedOrders.value_or(0))
+    if (!sent.empty() && sent.back().load.expectedOrders == load.expectedOrders)
         sent.pop_back();
     if (sent.empty())
         m_sent.erase(found);
@@ -51,13 +46,14 @@
         for (const SentLoad &sent : found->second) {
             if (sent.until <= now)
                 continue;
-            reserve.lateMb += sent.weightsMb;
+            reserve.lateMb += sent.load.memoryMb;
+            reserve.lateAdapters += sent.load.isAdapter ? 1 : 0;
             // In the incarnation it was sent to, the count of orders prevents its execution after
             // others.
             if (sent.engineStartedAtMs >= engineStartedAtMs)
                 continue;
-            reserve.weightsMb += sent.weightsMb;
-            reserve.adapters += sent.isAdapter ? 1 : 0;
+            reserve.weightsMb += sent.load.memoryMb;
+            reserve.adapters += sent.load.isAdapter ? 1 : 0;
         }
     }
     reserve.blocksAllLoads = restartedAt && *restartedAt > m_startedAt - MaxExecutionDelay
@@ -65,4 +61,4 @@
     return reserve;
 }
 
-} // namespace Gateway
+} // namespace Placement
--- a/src/libs/gateway/unansweredorders.h
+++ b/src/libs/placement/unansweredorders.h
@@ -8,9 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace Gateway {
-
-struct EngineOrder;
+namespace Placement {
 
 /// Tracks load orders without an answer, which an engine may still carry out.
 ///
@@ -32,16 +30,25 @@
         double weightsMb = 0; ///< Of the memory that is free at present.
         double lateMb = 0; ///< Of the total memory: loads that may still arrive.
         int adapters = 0;
+        int lateAdapters = 0; ///< Of all slots, as `lateMb`.
         bool blocksAllLoads = false; ///< Orders that may still arrive are unknown: allows no loads.
     };
 
+    /// An order to load a model or an adapter.
+    struct Load
+    {
+        std::int64_t expectedOrders = 0; ///< Orders that the engine has to have accepted before.
+        bool isAdapter = false;
+        double memoryMb = 0;
+    };
+
     /// `startedAt` is when this gateway got the lease; earlier orders of other holders are unknown.
     explicit UnansweredOrders(Utils::TimePoint startedAt);
 
-    auto noteSent(const std::string &engine, std::int64_t engineStartedAtMs,
-                  const EngineOrder &order, double weightsMb, Utils::TimePoint now) -> void;
-    /// Removes an order that the engine has accepted or refused.
-    auto noteAnswered(const std::string &engine, const EngineOrder &order) -> void;
+    auto noteSent(const std::string &engine, std::int64_t engineStartedAtMs, const Load &load,
+                  Utils::TimePoint now) -> void;
+    /// Removes a load that the engine has accepted or refused.
+    auto noteAnswered(const std::string &engine, const Load &load) -> void;
     /// `restartedAt` is when a restart of the engine under its id was detected.
     auto reserveFor(const std::string &engine, std::int64_t engineStartedAtMs,
                     std::optional<Utils::TimePoint> restartedAt, Utils::TimePoint now) const
@@ -51,9 +58,7 @@
     struct SentLoad
     {
         std::int64_t engineStartedAtMs = 0;
-        std::int64_t expectedOrders = 0;
-        bool isAdapter = false;
-        double weightsMb = 0;
+        Load load;
         Utils::TimePoint until;
     };
 
@@ -61,4 +66,4 @@
     std::map<std::string, std::vector<SentLoad>> m_sent; ///< By engine.
 };
 
-} // namespace Gateway
+} // namespace Placement
--- a/tests/auto/gateway/tst_demandaggregator.cpp
+++ b/tests/auto/gateway/tst_demandaggregator.cpp
@@ -71,3 +71,24 @@
     EXPECT_EQ(holder.gateways, 0);
     EXPECT_TRUE(holder.members.empty());
 }
+
+// Guards against: placement doesn't learn at which software version a model is awaited (review,
+// case 4). Gateways of an earlier version send no such list.
+TEST(VersionDemand, SumsWhatGatewaysLastTold)
+{
+    using Placement::VersionDemand;
+    const Utils::TimePoint now{1h};
+    const VersionDemand::Key key = {"lm", "m1", {}, "v1"};
+    VersionDemand other;
+    other.noteWaiting(key, 1);
+    other.noteWaiting(key, 1);
+    VersionDemand own;
+    own.noteWaiting(key, 1);
+    own.update("g2", other.toJson(), now);
+    own.update("g3", nlohmann::json::array(), now);
+    own.update("g4", nlohmann::json::parse(R"([[1],["a","b"],["a","b","c","d",-1],{},7])"), now);
+    EXPECT_EQ(own.total(now + 1s), (std::map<VersionDemand::Key, int>{{key, 3}}));
+    EXPECT_EQ(own.total(now + 2s), (std::map<VersionDemand::Key, int>{{key, 1}})) << "aged";
+    own.noteWaiting(key, -1);
+    EXPECT_TRUE(own.total(now + 2s).empty());
+}
