--- a/src/libs/gateway/dutymessages.cpp
+++ b/src/libs/gateway/dutymessages.cpp
@@ -90,7 +90,11 @@
     json models = json::object();
     for (const auto &[model, adapters] : report.models)
         models[model] = adapters;
-    return {{"kind", Kind}, {"id", id}, {"orders", report.ordersAccepted}, {"models", models}};
+    json message = {
+        {"kind", Kind}, {"id", id}, {"orders", report.ordersAccepted}, {"models", models}};
+    if (report.startedAtMs)
+        message["started"] = *report.startedAtMs;
+    return message;
 }
 
 auto EngineMessage::fromJson(const json &message) -> EngineMessage
@@ -98,6 +102,8 @@
     EngineMessage result;
     result.id = fieldOr(message, "id", std::string());
     result.report.ordersAccepted = fieldOr(message, "orders", std::int64_t(0));
+    if (message.contains("started"))
+        result.report.startedAtMs = Utils::wholeNumber<std::int64_t>(message["started"], 0);
     const json models = message.value("models", json::object());
     for (const auto &[model, adapters] : models.items())
         result.report.models[model] = adapters.get<std::set<std::string>>();
--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -471,6 +471,14 @@
     }
     m_nextReport = m_context.reactor.now() + ReportInterval;
     wakeAt(m_nextReport);
+    const BackendServer *server = m_context.board.find(m_id);
+    if (server && server->startedAtMs > 0 && report->startedAtMs
+        && *report->startedAtMs != server->startedAtMs) {
+        // Nothing is known of the newer incarnation until it is listed.
+        if (*report->startedAtMs > server->startedAtMs && m_context.onConnectionLost)
+            m_context.onConnectionLost(m_id, server->startedAtMs);
+        return;
+    }
     // Reports are delayed; one from before the last accepted order does not reflect it.
     if (m_isKnown && report->ordersAccepted < m_state.ordersAccepted)
         return;
--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -522,6 +522,14 @@
 
     auto handleEngine(const EngineMessage &message) -> void
     {
+        const BackendServer *server = context.board.find(message.id);
+        const auto started = message.report.startedAtMs;
+        if (server && started && server->startedAtMs > 0 && *started != server->startedAtMs) {
+            // The list is behind: the version of the newer start is unknown.
+            if (*started > server->startedAtMs && context.onConnectionLost)
+                context.onConnectionLost(message.id, server->startedAtMs);
+            return;
+        }
         context.board.applyReport(message.id, message.report);
         context.requestQueue.wake();
     }
--- a/tests/auto/platform/tst_streamversions.cpp
+++ b/tests/auto/platform/tst_streamversions.cpp
@@ -7,6 +7,10 @@
 
 #include <ostream>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace {
 
 const std::string m1 = "Model: m1\r\nToken-Count: 10,10\r\n";
@@ -698,3 +702,46 @@
         },
         12s));
 }
+
+// Guards against: a gateway that the store turns away goes on with a stream at a server that has
+// started again with other software, as the lease holder tells what the new process has loaded
+// (review, case 3). The gateway had no connection to the server.
+TEST_F(StreamVersions, NoStreamIsTakenUpWhereTheLeaseHolderTellsOfAnotherStart)
+{
+    auto &server = addVersion("i-1", "v1", {"m2"});
+    origins->versions["a0"] = "v1";
+    startGateway("g1");
+    const auto holder = std::move(gateway);
+    const auto holderRows = std::move(rows);
+    ASSERT_TRUE(runUntil([&] { return !store->value("acaciahall", "placement").empty(); }));
+    startGateway("g2");
+    gateway->setStreamOrigins(*origins);
+    ASSERT_TRUE(runUntil([this] { return readinessStatus() == 200; }));
+    const auto startedAtMs = json::parse(store->value("servers", "i-1"))["born"].get<int>();
+    server.softwareVersion = "v2";
+    server.restart("i-1", false);
+    server.setModels({"m1"});
+    const json message = {{"kind", "engine"},
+                          {"id", "i-1"},
+                          {"orders", 1},
+                          {"started", startedAtMs + 1},
+                          {"models", {{"m1", json::array()}}}};
+    const int fd = ::socket(AF_INET, SOCK_DGRAM, 0);
+    sockaddr_in to = {};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(peers.ip());
+    to.sin_port = htons(peers.port());
+    const std::string text = message.dump();
+    ASSERT_EQ(::sendto(fd, text.data(), text.size(), 0, reinterpret_cast<const sockaddr *>(&to),
+                       sizeof to),
+              static_cast<ssize_t>(text.size()));
+    ::close(fd);
+    wait(100ms);
+    const auto answer = sendRequest(makeRequest("/batch/x", "a1", takeUp("a0", 2)));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_EQ(server.runs(), 0);
+    server.announce();
+    wait(700ms);
+    EXPECT_TRUE(sendRequest(makeRequest("/batch/x", "a2", m1))->isWhole());
+    EXPECT_EQ(origins->begun.back(), (FakeStreamOrigins::Begun{"a2", "lm", "v2"}));
+}
