--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -107,14 +107,22 @@
 }
 
 auto EngineController::toPlannedEngine(const BackendServer &server,
-                                       const UnansweredOrders::Reserve &reserve) const
+                                       const Placement::UnansweredOrders::Reserve &reserve) const
     -> PlannedEngine
 {
     PlannedEngine engine;
     engine.id = m_id;
+    engine.softwareVersion = server.softwareVersion;
     engine.reserve = reserve;
     for (const auto &[model, adapters] : m_state.models)
         engine.models.insert(model);
+    const auto addAdapter = [&engine](const std::string &name) {
+        engine.adapterModels.push_back(name.substr(0, name.find('/')));
+    };
+    for (const auto &[model, adapters] : m_state.models)
+        engine.adapterModels.insert(engine.adapterModels.end(), adapters.size(), model);
+    std::for_each(m_state.loadingAdapters.begin(), m_state.loadingAdapters.end(), addAdapter);
+    std::for_each(m_unloadingAdapters.begin(), m_unloadingAdapters.end(), addAdapter);
     engine.readySince = m_readySince;
     if (m_pendingLoad) {
         engine.loadingModel = m_pendingLoad->model;
@@ -370,9 +378,8 @@
 }
 
 auto EngineController::requestAdapter(const std::string &model, const std::string &adapter,
-                                      int adapterSlots, TimePoint now) -> void
+                                      TimePoint now) -> void
 {
-    m_adapterSlots = adapterSlots;
     if (!isAdapterQueued(model, adapter) && m_adapterQueue.size() < MaxQueuedAdapters)
         m_adapterQueue.push_back({model, adapter, now});
     tick(now);
@@ -388,9 +395,14 @@
         m_adapterQueue.pop_front();
         return;
     }
+    const AdapterRoom room = m_events.adapterRoom(model);
+    if (room == AdapterRoom::None) {
+        m_adapterQueue.pop_front(); // Another engine may have room by now.
+        return;
+    }
     EngineOrder order;
     order.model = model;
-    if (adapterCount() >= m_adapterSlots) {
+    if (room == AdapterRoom::AfterUnload) {
         std::string oldestModel;
         std::string oldestAdapter;
         // An adapter that has waited long replaces one in use, which is unloaded after its last
@@ -517,6 +529,14 @@
     }
     m_nextReport = m_context.reactor.now() + ReportInterval;
     wakeAt(m_nextReport);
+    const BackendServer *server = m_context.board.find(m_id);
+    if (server && server->startedAtMs > 0 && report->startedAtMs
+        && *report->startedAtMs != server->startedAtMs) {
+        // Nothing is known of the newer incarnation until it is listed.
+        if (*report->startedAtMs > server->startedAtMs && m_context.onConnectionLost)
+            m_context.onConnectionLost(m_id, server->startedAtMs);
+        return;
+    }
     // Reports are delayed; one from before the last accepted order does not reflect it.
     if (m_isKnown && report->ordersAccepted < m_state.ordersAccepted)
         return;
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -190,8 +190,8 @@
     std::vector<std::string> parts;
     for (const PromptPart &part : m_request.promptParts)
         parts.push_back(part.id);
-    m_features = Routing::crashFeaturesOf(m_customer ? m_customer->name : std::string(),
-                                          m_request.target, m_request.body, parts);
+    m_features = Routing::withRun(Routing::crashFeaturesOf(
+        m_customer ? m_customer->name : std::string(), m_request.target, m_request.body, parts));
     if (isSuspect()) {
         refuseSuspect();
         return false;
@@ -345,6 +345,10 @@
     if (!m_needsModel)
         return;
     m_context.demand.noteWaiting(m_modelKey, m_context.reactor.now());
+    if (m_streamVersion && !m_streamVersion->empty()) {
+        m_awaitedAtVersion = {m_service, m_request.model, m_request.adapter, *m_streamVersion};
+        m_context.demand.versions().noteWaiting(*m_awaitedAtVersion, 1);
+    }
     m_context.onModelNeeded();
 }
 
@@ -383,6 +387,9 @@
     m_context.requestQueue.remove(m_waiting.id);
     if (m_needsModel)
         m_context.demand.noteWaitingEnded(m_modelKey);
+    if (m_awaitedAtVersion)
+        m_context.demand.versions().noteWaiting(*m_awaitedAtVersion, -1);
+    m_awaitedAtVersion.reset();
 }
 
 /// Requests a permit if the request can only be sent to a server that has named a limit.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -95,7 +95,7 @@
     /// True if the answer to the current attempt has begun long enough ago that the server did not
     /// crash on the request.
     auto hasOutlivedBeginning() const -> bool;
-    auto noteSurvived() -> void;
+    auto noteSurvived(bool isWhole) -> void;
     auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
     auto relayEvents(std::string_view data) -> bool;
@@ -132,6 +132,7 @@
     std::vector<Routing::CrashFeature> m_features;
     std::optional<Routing::CrashVerdict> m_verdict; ///< That the request is refused for.
     ModelKey m_modelKey;
+    std::optional<Placement::VersionDemand::Key> m_awaitedAtVersion; ///< As noted while waiting.
 
     Utils::TimePoint m_arrivedAt;
     Utils::TimePoint m_deadline;
