--- a/tests/auto/platform/soak/gatewayprocess.cpp
+++ b/tests/auto/platform/soak/gatewayprocess.cpp
@@ -32,6 +32,7 @@
     std::string program;
     std::string folder;
     GatewayEndpoints endpoints;
+    std::optional<ResourceSettings> resources;
     std::unique_ptr<ChildProcess> process;
     int exitStatus = 0;
     bool isStopped = false; ///< By `signal(SIGSTOP)`, as opposed to `pause`.
@@ -69,18 +70,22 @@
 
 auto GatewayProcess::writeSettings(bool isFirstStart, int stopTimeMs) -> void
 {
-    const nlohmann::json settings = {{"name", d->endpoints.name},
-                                     {"failureDomain", "a"},
-                                     {"callerAddress", d->endpoints.callers.toString()},
-                                     {"readinessAddress", d->endpoints.readiness.toString()},
-                                     {"peerAddress", d->endpoints.peers.toString()},
-                                     {"metricsAddress", d->endpoints.metrics.toString()},
-                                     {"storeAddress", d->endpoints.store.toString()},
-                                     {"stopTimeMs", stopTimeMs},
-                                     {"retryRatio", 0.2},
-                                     {"retrySlack", 50},
-                                     {"processorShare", 0.2},
-                                     {"firstStart", isFirstStart}};
+    nlohmann::json settings = {{"name", d->endpoints.name},
+                               {"failureDomain", "a"},
+                               {"callerAddress", d->endpoints.callers.toString()},
+                               {"readinessAddress", d->endpoints.readiness.toString()},
+                               {"peerAddress", d->endpoints.peers.toString()},
+                               {"metricsAddress", d->endpoints.metrics.toString()},
+                               {"storeAddress", d->endpoints.store.toString()},
+                               {"stopTimeMs", stopTimeMs},
+                               {"retryRatio", 0.2},
+                               {"retrySlack", 50},
+                               {"processorShare", 0.2},
+                               {"firstStart", isFirstStart}};
+    if (d->resources) {
+        settings["memoryMb"] = d->resources->memoryMb;
+        settings["maxFds"] = d->resources->maxFds;
+    }
     const std::string newFile = d->settingsFile() + ".new";
     std::ofstream(newFile) << settings.dump(2);
     std::filesystem::rename(newFile, d->settingsFile());
@@ -134,6 +139,16 @@
     return std::chrono::nanoseconds(used);
 }
 
+auto GatewayProcess::setResources(const ResourceSettings &resources) -> void
+{
+    d->resources = resources;
+}
+
+auto GatewayProcess::processId() const -> int
+{
+    return d->process ? d->process->getpid() : 0;
+}
+
 auto GatewayProcess::signal(int number) -> void
 {
     if (number == SIGSTOP || number == SIGCONT)
--- a/tests/auto/platform/soak/gatewayprocess.h
+++ b/tests/auto/platform/soak/gatewayprocess.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Soak {
@@ -20,6 +21,13 @@
     Http1::SocketAddress store; ///< Of the gateway's own wire to the store.
 };
 
+/// Resources of the machine that the settings name.
+struct ResourceSettings
+{
+    int memoryMb = 0;
+    int maxFds = 0;
+};
+
 /// A gateway that runs as a separate process and is controlled by signals.
 class GatewayProcess
 {
@@ -35,6 +43,10 @@
     auto resume() -> void;
     /// Processor time that the running process has used; 0 if none is running.
     auto processorTime() const -> std::chrono::nanoseconds;
+    /// Settings of the next start; none are written without them.
+    auto setResources(const ResourceSettings &resources) -> void;
+    /// 0 if none is running.
+    auto processId() const -> int;
     /// True until the process has ended. Reaps an ended process and records its exit status.
     auto isRunning() -> bool;
     /// Exit code of the last process that ended, or 128 plus the number of the signal that ended
