--- a/src/libs/availability/coldstartlimiter.h
+++ b/src/libs/availability/coldstartlimiter.h
@@ -31,6 +31,7 @@
                      Utils::TimePoint now) -> void
     {
         std::vector<std::string> names;
+        names.reserve(others.size());
         for (const Address &other : others)
             names.push_back(other.toString());
         setGatewayNames(own.toString(), names, count, now);
