--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -39,7 +39,6 @@
 /// Maximum time that an engine may unload others for a model before another engine is chosen; an
 /// unload waits for running requests.
 constexpr std::chrono::milliseconds IntentLifetime(3000);
-const char *const PrefetchReason = "prefetch";
 /// Minimum benefit of a prefetch, in requests per second; it replaces only surplus or idle models.
 constexpr double MinPrefetchBenefit = 0.02;
 /// Assumed probability that an engine with a copy leaves before another copy can be loaded.
@@ -184,13 +183,15 @@
             proposal.benefit = demand.perSecond + WaitingWeight * demand.waiting;
             proposal.reason = "waiting";
             proposal.isUrgent = true;
-        } else if (held > 0 && demand.waiting >= WaitingForAnotherEngine * held) {
-            proposal.benefit = WaitingWeight * demand.waiting / 2;
-        } else if (held > 0 && demand.perSecond - RatePerEngine * held > MinExcessRate) {
-            proposal.benefit = ExcessRateWeight * (demand.perSecond - RatePerEngine * held);
-        } else {
-            continue;
+        } else if (held > 0) {
+            const double excess = demand.perSecond - RatePerEngine * held;
+            if (demand.waiting >= WaitingForAnotherEngine * held)
+                proposal.benefit = WaitingWeight * demand.waiting / 2;
+            if (excess > MinExcessRate)
+                proposal.benefit = std::max(proposal.benefit, ExcessRateWeight * excess);
         }
+        if (proposal.benefit <= 0)
+            continue;
         proposals.push_back(proposal);
     }
     for (LoadProposal &proposal : versionProposals(input))
@@ -245,7 +246,7 @@
         proposal.model = &model;
         proposal.benefit =
             std::max(rate * std::pow(DepartureProbability, copies), MinPrefetchBenefit);
-        proposal.reason = PrefetchReason;
+        proposal.reason = LoadProposal::PrefetchReason;
         proposals.push_back(proposal);
     }
     return proposals;
@@ -322,11 +323,14 @@
 {
     // Loads from the store slow each other down, so a second copy waits until the first is loaded.
     if (snapshot.loadingModels.count(proposal.model->name) > 0
+        || round.modelsFromStore.count(proposal.model->name) > 0
         || (proposal.isUrgent ? round.storeLoads : std::min(round.storeLoads, round.prefetchLoads))
             <= 0)
         return;
-    // On a full disk, the new copy would replace another one.
-    const bool needsFreeDisk = input.description->diskMb > 0 && !proposal.isUrgent
+    // On a full disk, the new copy would replace another one. For a model whose engines are
+    // overloaded that is worth it: without another engine, its requests time out as long as the
+    // demand lasts.
+    const bool needsFreeDisk = input.description->diskMb > 0 && proposal.isPrefetch()
         && snapshot.copies.count(proposal.model->name) > 0;
     if (needsFreeDisk && snapshot.maxFreeDiskMb < proposal.model->weightsMb)
         return;
@@ -357,6 +361,7 @@
             && eligibleEngines <= std::min(round.copiesAtBusyEngines, round.storeLoads)))
         return;
     addOrder(input, proposal, *best, round);
+    round.modelsFromStore.insert(proposal.model->name);
     --round.storeLoads;
     if (!proposal.isUrgent)
         --round.prefetchLoads;
@@ -396,7 +401,7 @@
     for (const LoadProposal &proposal : demandProposals(input, snapshot)) {
         if (static_cast<long>(round.orderedEngines.size()) >= idle)
             return round.orders;
-        if (!loadFromCopy(input, snapshot, proposal, round) && proposal.isUrgent)
+        if (!loadFromCopy(input, snapshot, proposal, round))
             fromStore.push_back(proposal);
     }
     if (round.storeLoads <= 0)
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -84,6 +84,8 @@
     /// A proposal to load a model on one more engine.
     struct LoadProposal
     {
+        static constexpr const char *PrefetchReason = "prefetch";
+
         const ModelDescription *model = nullptr;
         double benefit = 0;
         std::string reason;
@@ -91,6 +93,7 @@
         double longestWaitMs = 0;
         std::string softwareVersion; ///< Only engines of this version; any if empty.
 
+        auto isPrefetch() const -> bool { return reason == PrefetchReason; }
         auto suits(const PlannedEngine &engine) const -> bool
         {
             return engine.models.count(model->name) == 0
@@ -104,6 +107,7 @@
         std::vector<PlannedOrder> orders;
         std::set<std::string> orderedEngines; ///< Engines that got an order.
         std::set<std::string> modelsAwaitingUnload; ///< An engine unloads others for these.
+        std::set<std::string> modelsFromStore; ///< Ordered from the weight store in this round.
         int storeLoads = 0; ///< Loads from the store that may still start.
         int prefetchLoads = 0; ///< Number of those that may be prefetches.
         int copiesAtBusyEngines = 0; ///< Proposals waiting for a busy engine.
--- a/tests/auto/gateway/tst_swapplanner.cpp
+++ b/tests/auto/gateway/tst_swapplanner.cpp
@@ -380,3 +380,34 @@
                                          [](const auto &order) { return order.isFromStore; });
     RC_ASSERT(fromStore <= std::max(0, input.storeLoadsAllowed));
 }
+
+// Load: demand moves to a model that one engine holds, no other engine has a copy of its weights,
+// and the disks are full. Guards against leaving the model at that engine as long as the demand
+// lasts: only prefetches fetched further copies, and those need free disk space.
+TEST_F(SwapPlannerTest, CrowdedModelIsFetchedFromTheStoreOntoAFullDisk)
+{
+    description.diskMb = 130000;
+    addEngine("e1", {"m0"}).copiesOnDisk = {"m0", "m1"};
+    addEngine("e2", {"m1"}).copiesOnDisk = {"m1", "m2"};
+    addEngine("e3", {"m2"}).copiesOnDisk = {"m2", "m3"};
+    input.demand["m0"] = {40, 32, 30, 1500};
+    const auto orders = planner.plan(input);
+    const auto *load = find(orders, Kind::Load, "m0");
+    ASSERT_TRUE(load);
+    EXPECT_NE(load->engine, "e1");
+    EXPECT_TRUE(load->isFromStore);
+    EXPECT_EQ(std::count_if(orders.begin(), orders.end(),
+                            [](const auto &order) { return order.model == "m0"; }),
+              1);
+}
+
+// The same model when few of its requests happen to wait: the request rate shows the demand too.
+TEST_F(SwapPlannerTest, CrowdedModelIsFetchedForItsRequestRate)
+{
+    description.diskMb = 130000;
+    addEngine("e1", {"m0"}).copiesOnDisk = {"m0", "m1"};
+    addEngine("e2", {"m1"}).copiesOnDisk = {"m1", "m2"};
+    input.demand["m0"] = {4, 32, 30, 100};
+    const auto orders = planner.plan(input);
+    EXPECT_TRUE(find(orders, Kind::Load, "m0"));
+}
