--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -145,6 +145,8 @@
         {Event::StoreAskedAnew, "store-asked-anew",
          "A request to the store may have been lost and was sent again."},
         {Event::BackendGone, "backend-gone", "A backend server is no longer listed."},
+        {Event::CrossDomainShareChanged, "cross-domain-share-changed",
+         "Another share of a service's requests may leave the gateway's failure domain."},
         {Event::RequestRefused, "request-refused",
          "A caller got a refusal; reason, rule line and person are given."},
         {Event::RequestServed, "request-served", "A caller got a whole answer."},
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -39,6 +39,7 @@
     StoreEraRejected = 219,
     ConfigurationOutdated = 220,
     VersionsChanged = 225,
+    CrossDomainShareChanged = 230,
     RequestRefused = 300,
     RequestServed = 301,
     RequestRetried = 302,
