Test growing reservations and slowdowns that count once

Three changes to the code that should fail a test did not: answers that outgrow their reservation, measurements that are not corrected by the reported slowdown, and a slowdown that is read long after its end. The two new cases and the additional check fail with these changes and pass without them.

--- a/tests/auto/routing/tst_machineslowdown.cpp
+++ b/tests/auto/routing/tst_machineslowdown.cpp
@@ -52,6 +52,7 @@
     EXPECT_GT(halfway, 1.2);
     EXPECT_LT(halfway, 2.3);
     EXPECT_EQ(slowdown.value(last + Constants::SlowdownLifetime), 1);
+    EXPECT_EQ(slowdown.value(last + 1min), 1);
 }
 
 // Guards against one faulty report that excludes a server or attracts all requests.
--- a/tests/auto/routing/tst_serverselector.cpp
+++ b/tests/auto/routing/tst_serverselector.cpp
@@ -196,3 +196,29 @@
     servers[1].state.slowdown.note(3, now);
     EXPECT_NEAR(selector.expectedTimeLeft(request, run, servers[1].state, now)->count(), 180, 9);
 }
+
+// Load pattern: a noisy neighbour. Guards against a machine's slowdown that counts a second time,
+// as if its server were slow for good.
+TEST(ServerSelector, ReportedSlowdownDoesNotCountAsTheServersSpeed)
+{
+    std::mt19937 random(1);
+    ServerSelector selector(1);
+    auto servers = makeServers(selector, 4, 0);
+    const auto request = makeRequest(random);
+    auto now = start;
+    for (int i = 0; i < 800; ++i, now += 10ms) {
+        Server &server = servers[i % servers.size()];
+        server.load = i % 7;
+        const bool isSlowed = &server == &servers[3];
+        Milliseconds time(40 + 10 * server.load);
+        if (isSlowed) {
+            server.state.slowdown.note(3,
+                                       now + 3 * std::chrono::milliseconds(40 + 10 * server.load));
+            time *= 3;
+        }
+        measure(selector, request, server, time, now);
+        selector.observe("chat", viewsOf(servers), now);
+    }
+    const auto weights = selector.weigh(&request, now + 10s);
+    EXPECT_EQ(weights.score(servers[3].state, 1, false), 1);
+}
--- a/tests/auto/routing/tst_tokenledger.cpp
+++ b/tests/auto/routing/tst_tokenledger.cpp
@@ -127,3 +127,22 @@
     EXPECT_EQ(expected(makeRequest(1000, 4000, 400)), 1000 + 400 * Constants::InitialHintRatio);
     EXPECT_EQ(expected(makeRequest(1000, 100, 400)), 1100);
 }
+
+// Guards against an answer that is far longer than its hint and still counts as short.
+TEST(TokenLedger, ReservationGrowsWithAnOutgrownAnswer)
+{
+    ServerSelector selector(1);
+    ServerState server = selector.makeState();
+    const auto request = makeRequest(1000, 4000, 400);
+    RunningRequest run;
+    run.sentAt = start;
+    selector.noteSent(request, run, server);
+    selector.noteEvents(request, run, server, 400, start + 1s);
+    EXPECT_EQ(server.tokens.held(0, start), 1000 + 400 * Constants::InitialHintRatio);
+    selector.noteEvents(request, run, server, 400, start + 2s);
+    EXPECT_EQ(server.tokens.held(0, start), 1000 + 800 * Constants::OutgrownAnswerFactor);
+    selector.noteEvents(request, run, server, 3200, start + 3s);
+    EXPECT_EQ(server.tokens.held(0, start), 5000) << "no more than the maximum";
+    selector.noteEnded(request, run, server, true);
+    EXPECT_EQ(server.tokens.held(0, start), 0);
+}
