Select servers by speed, memory, prompt caches and the cost of leaving

Cause: BackendRegistry counted requests only, so slow servers, full memory and prompt prefixes that a server has read had no effect, and a server in another failure domain counted like 0.75 requests whatever crossed.

Ruled out: a map from server ids to the estimates in routing (one look-up for each server and choice); the state is part of the registry's entry.

Change: the registry weighs the servers with Routing::ServerSelector and admits requests against kvTokens. Length-Hint is decoded. The time to connect, the first event, events and bytes are noted by the request flow.

Run: tst_codecs, tst_gateway, tst_catalogues, all of tests/auto/routing and the BackendRegistry cases of tst_decisions pass.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -148,6 +148,8 @@
             if (deliveryTimeout)
                 connection.http->setAcknowledgementTimeout(deliveryTimeout());
             sentAt = context->reactor.now();
+            if (auto *server = context->board.stateOf(backendId, startedAtMs))
+                server->noteConnected(sentAt - connection.openedAt);
             return true;
         };
         connection.http->call(request, std::move(callEvents));
--- a/src/libs/gateway/backendregistry.cpp
+++ b/src/libs/gateway/backendregistry.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-BackendRegistry::BackendRegistry(std::string failureDomain)
+BackendRegistry::BackendRegistry(std::string failureDomain, std::uint64_t seed)
     : m_failureDomain(std::move(failureDomain))
+    , m_selector(seed)
 { }
 
 auto BackendRegistry::setGatewayCount(int count) -> void
@@ -42,16 +43,18 @@
     m_allowance = allowance;
 }
 
-auto BackendRegistry::setCapacity(const std::string &service, int slots) -> void
+auto BackendRegistry::setCapacity(const std::string &service, int slots, double tokens) -> void
 {
-    m_capacity[service] = slots;
+    m_capacity[service] = {slots, tokens};
 }
 
 auto BackendRegistry::update(const BackendServer &server, TimePoint now) -> bool
 {
     const auto found = m_entries.find(server.id);
     if (found == m_entries.end()) {
-        m_entries[server.id].server = withAnnouncedState(server);
+        Entry &added = m_entries[server.id];
+        added.server = withAnnouncedState(server);
+        added.state = m_selector.makeState();
         return true;
     }
     Entry &entry = found->second;
@@ -64,6 +67,7 @@
         entry.avoidedUntil = now;
         entry.restartedAt = now;
         entry.server = withAnnouncedState(server);
+        entry.state = m_selector.makeState();
         return true;
     }
     const bool keepsModels = isOlder(server, entry.server);
@@ -101,7 +105,8 @@
         std::max(0, load.running + load.waiting - found->second.inFlight);
     found->second.reportedAt = now;
     if (load.slowdown)
-        found->second.slowdown.note(*load.slowdown, now);
+        found->second.state.slowdown.note(*load.slowdown, now);
+    found->second.state.tokens.noteOthers(found->second.reportedOtherRequests, now);
 }
 
 auto BackendRegistry::noteMissing(const std::string &id, const std::string &model,
@@ -252,10 +257,10 @@
     return entry.inFlight + (isRecent ? entry.reportedOtherRequests : 0);
 }
 
-auto BackendRegistry::capacityOf(const Entry &entry) const -> int
+auto BackendRegistry::capacityOf(const Entry &entry) const -> Capacity
 {
     const auto found = m_capacity.find(entry.server.service);
-    return found == m_capacity.end() ? std::max(entry.server.slots, 1) : found->second;
+    return found == m_capacity.end() ? Capacity{std::max(entry.server.slots, 1)} : found->second;
 }
 
 auto BackendRegistry::needsPermit(const Entry &entry) const -> bool
@@ -264,23 +269,28 @@
 }
 
 auto BackendRegistry::isCandidate(const Entry &entry, const BackendRequirements &requirements,
-                                  TimePoint now) const -> bool
+                                  const Routing::SelectionWeights &weights) const -> bool
 {
-    return isSuitable(entry, requirements) && entry.ejectedUntil <= now && entry.avoidedUntil <= now
-        && entry.pausedUntil <= now && holds(entry, requirements)
-        && (!requirements.needsKnownIncarnation || !entry.lostAt)
-        && loadOf(entry, now) < capacityOf(entry);
+    const TimePoint now = weights.now;
+    if (!isSuitable(entry, requirements) || entry.ejectedUntil > now || entry.avoidedUntil > now
+        || entry.pausedUntil > now || !holds(entry, requirements)
+        || (requirements.needsKnownIncarnation && entry.lostAt))
+        return false;
+    const Capacity capacity = capacityOf(entry);
+    return loadOf(entry, now) < capacity.slots && weights.fits(entry.state, capacity.tokens);
 }
 
-auto BackendRegistry::scoreOf(const Entry &entry, TimePoint now) const -> double
+auto BackendRegistry::isRemote(const Entry &entry) const -> bool
 {
-    // A server in another failure domain is weighted like one with another request in flight, a
-    // failing server like one with several.
-    constexpr double remoteDomainPenalty = 0.75;
+    return entry.server.failureDomain != m_failureDomain;
+}
+
+auto BackendRegistry::scoreOf(const Entry &entry, const Routing::SelectionWeights &weights) const
+    -> double
+{
+    // A failing server is weighted like one with several requests more in flight.
     constexpr double failurePenalty = 4;
-    // The request itself takes longer on a slow machine as well, also if nothing else runs there.
-    const double delay = (loadOf(entry, now) + 1) * entry.slowdown.value(now) - 1;
-    return delay + (entry.server.failureDomain == m_failureDomain ? 0.0 : remoteDomainPenalty)
+    return weights.score(entry.state, loadOf(entry, weights.now), isRemote(entry))
         + entry.failureRate * failurePenalty;
 }
 
@@ -290,14 +300,17 @@
     const Entry *best = nullptr;
     std::pair<bool, double> bestScore; // Servers without a limit come first.
     std::uint64_t bestRank = 0;
+    const auto weights = m_selector.weigh(requirements.profile, now);
+    std::string rankKey = requirements.affinity; // One buffer for all servers.
     for (const auto &[id, entry] : m_entries) {
-        if (!isCandidate(entry, requirements, now))
+        if (!isCandidate(entry, requirements, weights))
             continue;
         const bool isLimited = needsPermit(entry);
         if (isLimited && !m_allowance->hasPermit(entry.server))
             continue;
-        const std::pair score(isLimited, scoreOf(entry, now));
-        const std::uint64_t rank = Utils::stableHash(requirements.affinity + id);
+        const std::pair score(isLimited, scoreOf(entry, weights));
+        rankKey.resize(requirements.affinity.size());
+        const std::uint64_t rank = Utils::stableHash(rankKey += id);
         if (!best || score < bestScore || (score == bestScore && rank > bestRank)) {
             best = &entry;
             bestScore = score;
@@ -315,12 +328,13 @@
 {
     const Entry *best = nullptr;
     double bestScore = 0;
+    const auto weights = m_selector.weigh(requirements.profile, now);
     for (const auto &[id, entry] : m_entries) {
-        if (!needsPermit(entry) || !isCandidate(entry, requirements, now))
+        if (!needsPermit(entry) || !isCandidate(entry, requirements, weights))
             continue;
         if (id == current)
             return id;
-        const double score = scoreOf(entry, now);
+        const double score = scoreOf(entry, weights);
         if (!best || score < bestScore) {
             best = &entry;
             bestScore = score;
@@ -371,6 +385,46 @@
     });
 }
 
+auto BackendRegistry::stateOf(const std::string &id, std::int64_t startedAtMs)
+    -> Routing::ServerState *
+{
+    const auto found = m_entries.find(id);
+    const bool isCurrent =
+        found != m_entries.end() && found->second.server.startedAtMs == startedAtMs;
+    return isCurrent ? &found->second.state : nullptr;
+}
+
+auto BackendRegistry::noteRequest(const std::string &id, const Routing::RequestProfile &request,
+                                  TimePoint now) -> Routing::RunningRequest
+{
+    Routing::RunningRequest run;
+    run.sentAt = now;
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return run;
+    run.startedAtMs = found->second.server.startedAtMs;
+    run.load = loadOf(found->second, now);
+    run.isRemote = isRemote(found->second);
+    m_selector.noteSent(request, run, found->second.state);
+    if (m_selector.isObservationDue(request.service, now))
+        observe(request.service, now);
+    return run;
+}
+
+/// Looks at all usable servers of the service.
+auto BackendRegistry::observe(const std::string &service, TimePoint now) -> void
+{
+    std::vector<Routing::ServerView> servers;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.server.service == service && entry.server.isUsable() && entry.ejectedUntil <= now
+            && entry.pausedUntil <= now)
+            servers.push_back(
+                {&entry.state, loadOf(entry, now), capacityOf(entry).slots, isRemote(entry)});
+    }
+    if (m_selector.observe(service, servers, now) && onShareChanged)
+        onShareChanged(service, *m_selector.domainOf(service));
+}
+
 auto BackendRegistry::noteSent(const std::string &id) -> void
 {
     const auto found = m_entries.find(id);
--- a/src/libs/gateway/backendregistry.h
+++ b/src/libs/gateway/backendregistry.h
@@ -2,7 +2,7 @@
 
 #include "backendserver.h"
 
-#include <routing/machineslowdown.h>
+#include <routing/serverselector.h>
 #include <utils/timepoint.h>
 
 #include <functional>
@@ -33,6 +33,7 @@
     std::function<bool(const std::string &softwareVersion)> mayUseVersion = nullptr;
     /// Only servers that have not started again since they were listed, as far as is known.
     bool needsKnownIncarnation = false;
+    const Routing::RequestProfile *profile = nullptr; ///< Must outlive the requirements.
 };
 
 /// The outcome of an attempt, as it concerns the backend server.
@@ -49,8 +50,8 @@
 class BackendRegistry
 {
 public:
-    /// `failureDomain` is the failure domain of this gateway.
-    explicit BackendRegistry(std::string failureDomain);
+    /// `failureDomain` is the failure domain of this gateway; `seed` differs between gateways.
+    explicit BackendRegistry(std::string failureDomain, std::uint64_t seed = 0);
 
     auto setGatewayCount(int count) -> void;
     /// Servers that need a permit are only chosen if there is one. Must outlive the registry.
@@ -92,8 +93,9 @@
     auto isIncarnationKnown(const std::string &id, std::int64_t startedAtMs) const -> bool;
     /// When connections to the server were last refused, if ever.
     auto refusedAt(const std::string &id) const -> std::optional<Utils::TimePoint>;
-    /// Maximum number of requests at one server of a service, from all gateways together.
-    auto setCapacity(const std::string &service, int slots) -> void;
+    /// Maximum number of requests at one server of a service, from all gateways together, and of
+    /// the tokens that they hold; 0 tokens mean no limit.
+    auto setCapacity(const std::string &service, int slots, double tokens = 0) -> void;
 
     /// Selects the server for a request; unset if no server with the model has capacity.
     auto choose(const BackendRequirements &requirements, Utils::TimePoint now) const
@@ -112,6 +114,14 @@
     /// True if the service has any usable server.
     auto hasService(const std::string &service) const -> bool;
 
+    auto selector() -> Routing::ServerSelector & { return m_selector; }
+    /// Null if that incarnation of the server is not the current one.
+    auto stateOf(const std::string &id, std::int64_t startedAtMs) -> Routing::ServerState *;
+    /// Called when the request is about to be sent, before `noteSent`.
+    auto noteRequest(const std::string &id, const Routing::RequestProfile &request,
+                     Utils::TimePoint now) -> Routing::RunningRequest;
+    /// Called when the share of requests that may leave the failure domain has changed.
+    std::function<void(const std::string &service, const Routing::DomainPolicy &)> onShareChanged;
     auto noteSent(const std::string &id) -> void;
     auto noteEnded(const std::string &id, SendOutcome outcome, Utils::TimePoint now) -> void;
 
@@ -137,7 +147,12 @@
         std::optional<Utils::TimePoint> refusedAt;
         int reportedOtherRequests = 0; ///< Other gateways' requests in the server's last report.
         Utils::TimePoint reportedAt;
-        Routing::MachineSlowdown slowdown;
+        Routing::ServerState state;
+    };
+    struct Capacity
+    {
+        int slots = 0;
+        double tokens = 0;
     };
 
     /// The list's entry, merged with what the server itself announced.
@@ -147,13 +162,15 @@
     auto isSuitable(const Entry &entry, const BackendRequirements &requirements) const -> bool;
     /// True if the server may get the request now, apart from a permit.
     auto isCandidate(const Entry &entry, const BackendRequirements &requirements,
-                     Utils::TimePoint now) const -> bool;
+                     const Routing::SelectionWeights &weights) const -> bool;
     auto needsPermit(const Entry &entry) const -> bool;
     /// The lowest score is the best one.
-    auto scoreOf(const Entry &entry, Utils::TimePoint now) const -> double;
+    auto scoreOf(const Entry &entry, const Routing::SelectionWeights &weights) const -> double;
+    auto isRemote(const Entry &entry) const -> bool;
+    auto observe(const std::string &service, Utils::TimePoint now) -> void;
     auto mayEject(const std::string &service, Utils::TimePoint now) const -> bool;
     auto loadOf(const Entry &entry, Utils::TimePoint now) const -> double;
-    auto capacityOf(const Entry &entry) const -> int;
+    auto capacityOf(const Entry &entry) const -> Capacity;
 
     std::string m_failureDomain;
     int m_gatewayCount = 1;
@@ -162,7 +179,8 @@
     /// Start time of the newest incarnation that announced its leaving. Includes unlisted servers,
     /// because an entry may expire and reappear.
     std::map<std::string, std::int64_t> m_announcedLeaving;
-    std::map<std::string, int> m_capacity;
+    std::map<std::string, Capacity> m_capacity;
+    Routing::ServerSelector m_selector;
 };
 
 } // namespace Gateway
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -36,6 +36,7 @@
 #include <net/reactor.h>
 #include <utils/boottime.h>
 #include <utils/eventlog.h>
+#include <utils/rendezvous.h>
 
 #include <algorithm>
 #include <random>
@@ -62,7 +63,7 @@
         : reactor(r)
         , settings(s)
         , wire(w)
-        , registry(s.failureDomain)
+        , registry(s.failureDomain, Utils::stableHash(s.name))
         , pool(r)
         , quota(s.isFirstStart, s.quotaTolerance)
         , requestQueue(r)
@@ -382,7 +383,7 @@
         }
         for (const auto &[name, service] : parsed->services) {
             if (service.engine)
-                registry.setCapacity(name, service.engine->batchSlots);
+                registry.setCapacity(name, service.engine->batchSlots, service.engine->cacheTokens);
         }
         quota.configure(parsed->customers, reactor.now());
         Utils::logEvent(Utils::Event::ConfigurationTaken,
@@ -617,6 +618,12 @@
         if (const BackendServer *server = d->registry.find(backendId))
             d->incarnationVerifier.noteConnectionLost(backendId, server->startedAtMs);
     };
+    d->registry.selector().setCrossDomainCost(settings.crossDomainCostPerMb);
+    d->registry.onShareChanged = [d](const std::string &service,
+                                     const Routing::DomainPolicy &policy) {
+        Routing::logDomainShare(service, policy);
+        d->metrics.set("acacia_cross_domain_share", policy.share(), {{"service", service}});
+    };
     d->context.onStreamBegun = [d](StreamBeginnings::Beginning stream) {
         d->streamBeginnings.add(std::move(stream), d->listedUntil());
     };
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -41,6 +41,11 @@
     constexpr double usualSlack = 50;
     settings.retryRatio = reader.number("retryRatio", 0, mostRetryRatio, usualRatio);
     settings.retrySlack = reader.number("retrySlack", 0, mostRetrySlack, usualSlack);
+    constexpr double noCost = -1;
+    constexpr double highestCost = 1e6;
+    const double cost = reader.number("crossDomainCostMsPerMb", 0, highestCost, noCost);
+    if (cost >= 0)
+        settings.crossDomainCostPerMb = std::chrono::duration<double, std::milli>(cost);
     settings.quotaTolerance.window =
         reader.milliseconds("quotaWindowMs", std::chrono::milliseconds(0));
     settings.quotaTolerance.share = reader.number("quotaTolerance", 0, 1, 0);
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -34,6 +34,8 @@
     std::chrono::milliseconds configurationApplyTime{2000};
     double retryRatio = 0; ///< Retries for each request, over all gateways.
     double retrySlack = 0; ///< Retries beyond that in one window, over all gateways.
+    /// Delay that is accepted to save a megabyte sent between failure domains.
+    std::optional<std::chrono::duration<double, std::milli>> crossDomainCostPerMb;
     QuotaTolerance quotaTolerance;
     PlacementLimits placement;
 };
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -53,12 +53,22 @@
     m_answer = answer;
     if (answer.load)
         m_context.board.updateLoad(m_attempt->backendId(), *answer.load, m_context.reactor.now());
+    if (m_route->kind != RouteKind::Stream && answer.isSuccess() && answer.isSigned)
+        noteProgress(1);
+}
+
+auto RequestFlow::noteProgress(int events) -> void
+{
+    if (auto *server = m_context.board.stateOf(m_attempt->backendId(), m_run.startedAtMs))
+        m_context.board.selector().noteEvents(m_profile, m_run, *server, events,
+                                              m_context.reactor.now());
 }
 
 auto RequestFlow::handleBody(std::string_view data) -> void
 {
     const bool isStream = m_route->kind == RouteKind::Stream && m_answer.isSuccess()
         && m_answer.isSigned && !m_answer.isEncoded;
+    m_run.answerBytes += static_cast<double>(data.size());
     bool isValid = true;
     if (isStream)
         isValid = relayEvents(data);
@@ -84,7 +94,7 @@
 auto RequestFlow::relayEvents(std::string_view data) -> bool
 {
     std::string out;
-    bool hasNewEvent = false;
+    int newEvents = 0;
     bool isValid = true;
     for (const StreamEvent &event : m_splitter.feed(data)) {
         isValid = mayRelay(event);
@@ -97,7 +107,7 @@
             continue;
         if (event.id) {
             m_lastEvent = event.id;
-            hasNewEvent = true;
+            ++newEvents;
         }
         m_hasEventsWithoutId = m_hasEventsWithoutId || !(event.id || event.isComment);
         out += event.text;
@@ -118,8 +128,9 @@
     m_lastEventAt = now;
     m_caller->write(out);
     // Comments show that the connection is alive, but not that the engine makes progress.
-    if (!hasNewEvent)
+    if (newEvents == 0)
         return isValid;
+    noteProgress(newEvents);
     startSilenceTimer();
     if (!m_attemptBegunAt)
         m_attemptBegunAt = now;
@@ -347,6 +358,14 @@
 {
     if (!m_attempt)
         return;
+    if (auto *server = m_context.board.stateOf(m_attempt->backendId(), m_run.startedAtMs))
+        m_context.board.selector().noteEnded(m_profile, m_run, *server,
+                                             outcome == SendOutcome::Good);
+    if (m_run.isRemote && m_attempt->mayHaveArrived()) {
+        m_context.metrics.count("acacia_cross_domain_requests_total", {{"service", m_service}});
+        m_context.metrics.count("acacia_cross_domain_bytes_total", {{"service", m_service}},
+                                m_profile.bytes + m_run.answerBytes);
+    }
     m_context.board.noteEnded(m_attempt->backendId(), outcome, m_context.reactor.now());
     if (m_needsModel)
         m_context.demand.noteRunning(m_modelKey, -1);
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -294,6 +294,16 @@
     const Service *service = m_configuration->findService(m_service);
     m_needsModel = service && service->engine && !m_request.model.empty();
     m_modelKey = {m_service, m_request.model, m_request.adapter};
+    m_profile = {m_service,
+                 m_needsModel ? m_request.modelName() : std::string(),
+                 static_cast<double>(m_request.promptTokens),
+                 static_cast<double>(m_request.maxAnswerTokens),
+                 m_request.lengthHint,
+                 static_cast<double>(m_request.body.size()),
+                 {},
+                 Utils::stableHash(identity)};
+    for (size_t i = 0; m_route->hasPromptParts && i + 1 < m_request.promptParts.size(); ++i)
+        m_profile.addPart(m_request.promptParts[i].id, m_request.promptParts[i].tokens);
 }
 
 auto RequestFlow::startTimers() -> void
@@ -484,6 +494,7 @@
     if (m_route->hasPromptParts && !m_request.promptParts.empty())
         requirements.affinity = m_request.modelName() + m_request.promptParts.front().id;
     requirements.excluded = m_triedServers;
+    requirements.profile = &m_profile;
     requirements.softwareVersion = m_streamVersion;
     requirements.needsKnownIncarnation = needsVersion();
     if (isResumableStream() && !m_streamVersion && m_context.streamOrigins) {
@@ -523,6 +534,7 @@
     ++m_sends;
     m_permitUsableUntil = m_context.permits->take(server);
     m_isHeldBack = false;
+    m_run = m_context.board.noteRequest(server.id, m_profile, m_context.reactor.now());
     m_context.board.noteSent(server.id);
     if (m_needsModel)
         m_context.demand.noteRunning(m_modelKey, 1);
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -97,6 +97,7 @@
     auto beginStream() -> void;
     auto bindToVersion() -> void;
     auto mayRelay(const StreamEvent &event) const -> bool;
+    auto noteProgress(int events) -> void;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
 
@@ -127,6 +128,8 @@
     std::vector<Routing::CrashFeature> m_features;
     std::optional<Routing::CrashVerdict> m_verdict; ///< That the request is refused for.
     ModelKey m_modelKey;
+    Routing::RequestProfile m_profile;
+    Routing::RunningRequest m_run; ///< The current attempt.
 
     Utils::TimePoint m_arrivedAt;
     Utils::TimePoint m_deadline;
--- a/src/libs/gateway/wireformat.h
+++ b/src/libs/gateway/wireformat.h
@@ -36,6 +36,7 @@
     bool hasTokenCount = false;
     int promptTokens = 0;
     int maxAnswerTokens = 0;
+    std::optional<int> lengthHint = {}; ///< Estimated number of answer tokens.
     std::vector<PromptPart> promptParts;
     std::optional<std::int64_t> resumeAfter; ///< Last event that the caller has received.
     /// The request takes up a stream; whether it tells which one in a readable way is another
--- a/src/libs/monitoring/metrics.cpp
+++ b/src/libs/monitoring/metrics.cpp
@@ -22,6 +22,13 @@
          "Permits to send to backend servers that named a limit, by result."},
         {"acacia_stream_origins_total", "counter",
          "Streams that were taken up, by how the version that began them was found."},
+        {"acacia_cross_domain_requests_total", "counter",
+         "Requests sent to backend servers in another failure domain, by service."},
+        {"acacia_cross_domain_bytes_total", "counter",
+         "Bytes of these requests and of their answers, by service."},
+        {"acacia_cross_domain_share", "gauge",
+         "Share of a service's requests that may leave the failure domain at the plain cost while "
+         "its servers are heavily used; 0 while nothing is limited."},
         {"acacia_request_seconds", "histogram", "Time from a request's arrival to its last byte."},
         {"acacia_first_byte_seconds", "histogram",
          "Time from a request's arrival to the answer's first byte."},
@@ -111,10 +118,10 @@
 
 Metrics::~Metrics() = default;
 
-auto Metrics::count(const std::string &name, const std::map<std::string, std::string> &labels)
-    -> void
+auto Metrics::count(const std::string &name, const std::map<std::string, std::string> &labels,
+                    double amount) -> void
 {
-    d->counter(name).Add(labels).Increment();
+    d->counter(name).Add(labels).Increment(amount);
 }
 
 auto Metrics::set(const std::string &name, double value,
--- a/src/libs/monitoring/metrics.h
+++ b/src/libs/monitoring/metrics.h
@@ -24,8 +24,8 @@
     Metrics();
     ~Metrics();
 
-    auto count(const std::string &name, const std::map<std::string, std::string> &labels = {})
-        -> void;
+    auto count(const std::string &name, const std::map<std::string, std::string> &labels = {},
+               double amount = 1) -> void;
     auto set(const std::string &name, double value,
              const std::map<std::string, std::string> &labels = {}) -> void;
     /// Records a time in seconds.
--- a/tests/auto/gateway/tst_backendboard.cpp
+++ b/tests/auto/gateway/tst_backendboard.cpp
@@ -208,6 +208,43 @@
     EXPECT_EQ(registry.choose(requirements(), start + 10s), preferred);
 }
 
+// Load pattern: prompts longer than the mean. Guards against a server that crashes because its
+// slots are free but its memory is not, and against memory that stays reserved after a restart.
+TEST(BackendRegistry, ServerWithoutMemoryForTheRequestIsSkipped)
+{
+    BackendRegistry registry("a");
+    registry.setCapacity("filing", 32, 10000);
+    registry.update(makeServer("s1"), start);
+    Routing::RequestProfile profile;
+    profile.service = "filing";
+    profile.promptTokens = 4000;
+    profile.maxAnswerTokens = 500;
+    BackendRequirements required = requirements();
+    required.profile = &profile;
+    std::vector<Routing::RunningRequest> runs;
+    for (int i = 0; i < 2; ++i) {
+        ASSERT_EQ(registry.choose(required, start), "s1") << i;
+        runs.push_back(registry.noteRequest("s1", profile, start));
+        registry.noteSent("s1");
+    }
+    EXPECT_FALSE(registry.choose(required, start));
+    profile.promptTokens = 100;
+    profile.maxAnswerTokens = 10;
+    EXPECT_FALSE(registry.choose(required, start)) << "a tenth of the memory stays free";
+    profile.promptTokens = 4000;
+    auto *state = registry.stateOf("s1", 1);
+    ASSERT_TRUE(state);
+    registry.selector().noteEnded(profile, runs[0], *state, true);
+    registry.noteEnded("s1", SendOutcome::Good, start);
+    EXPECT_EQ(registry.choose(required, start), "s1");
+    auto restarted = makeServer("s1");
+    restarted.startedAtMs = 2;
+    registry.update(restarted, start);
+    EXPECT_FALSE(registry.stateOf("s1", 1));
+    profile.promptTokens = 9000;
+    EXPECT_EQ(registry.choose(required, start + 1s), "s1");
+}
+
 // Guards against: a server whose entry was overwritten stays in use, or counts as ended.
 TEST(BackendRegistry, ServerWithAnUnreadableEntryIsUnusedUntilTheNextUpdate)
 {
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -163,6 +163,20 @@
     EXPECT_FALSE(answer.forwarded.has("Server-Load"));
 }
 
+// Guards against an estimate that is not used, or one that is negative or overflows.
+TEST(Codecs, LengthHintIsDecoded)
+{
+    EXPECT_FALSE(decodeRequest(makeHead(), {})->lengthHint);
+    for (const auto &[text, expected] : std::map<std::string, std::optional<int>>{
+             {"120", 120}, {" 7 ", 7}, {"-1", {}}, {"x", {}}, {"99999999999", {}}, {"1e3", {}}}) {
+        auto head = makeHead();
+        head.fields.add("Length-Hint", text);
+        const auto request = decodeRequest(head, {});
+        ASSERT_TRUE(request) << text;
+        EXPECT_EQ(request->lengthHint, expected) << text;
+    }
+}
+
 // Guards against a reported load that is dropped because of a fourth figure (servers that share
 // their machine report how long work takes there).
 TEST(Codecs, LoadWithAFourthFigureIsDecoded)
