--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -102,6 +102,7 @@
     auto beginStream() -> void;
     auto bindToVersion() -> void;
     auto mayRelay(const StreamEvent &event) const -> bool;
+    auto noteProgress(int events) -> void;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
 
@@ -133,6 +134,8 @@
     std::optional<Routing::CrashVerdict> m_verdict; ///< That the request is refused for.
     ModelKey m_modelKey;
     std::optional<Placement::VersionDemand::Key> m_awaitedAtVersion; ///< As noted while waiting.
+    Routing::RequestProfile m_profile;
+    Routing::RunningRequest m_run; ///< The current attempt.
 
     Utils::TimePoint m_arrivedAt;
     Utils::TimePoint m_deadline;
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -41,6 +41,7 @@
     EvacuationBegun = 221,
     EvacuationEnded = 222,
     VersionsChanged = 225,
+    CrossDomainShareChanged = 230,
     RequestRefused = 300,
     RequestServed = 301,
     RequestRetried = 302,
