--- a/src/libs/admission/admissionconstants.h
+++ b/src/libs/admission/admissionconstants.h
@@ -22,4 +22,21 @@
 constexpr std::chrono::seconds OverloadMemory(2);
 /// Sizes of recent requests that are kept for each route.
 constexpr std::size_t ProfiledSizes = 200;
+/// Slots that a queue's requests got, as far as its rate is estimated from them: at most this many,
+/// for at most this time, and no fewer than `MinGrants`.
+constexpr std::size_t MaxGrants = 128;
+constexpr std::size_t MinGrants = 8;
+constexpr std::chrono::seconds GrantLifetime(5);
+/// Queues whose rates are kept until the unused ones are removed.
+constexpr std::size_t MaxHistories = 4096;
+/// Interval between two searches for requests that can't be served in time; each one takes time for
+/// every waiting request.
+constexpr std::chrono::milliseconds ReviewInterval(20);
+/// Early refusals that are logged in each second; anybody can cause many.
+constexpr int MaxLoggedRefusalsPerSecond = 20;
+/// Age from which a forecast of the placement lease's holder is not used.
+constexpr std::chrono::seconds ForecastLifetime(2);
+/// Limit on the models of one forecast, which has to fit into a datagram.
+constexpr std::size_t MaxForecastModels = 32;
+
 } // namespace Admission::Constants
--- a/src/libs/admission/sharescheduler.cpp
+++ b/src/libs/admission/sharescheduler.cpp
@@ -181,8 +181,9 @@
             ? 1.0
             : found->second->endedRatio();
     };
-    for (auto &[name, route] : service.routes) {
-        const double ratio = ratioOf(name);
+    for (auto &item : service.routes) {
+        RouteState &route = item.second;
+        const double ratio = ratioOf(item.first);
         route.isAhead = std::any_of(service.waitingByRoute.begin(), service.waitingByRoute.end(),
                                     [&](const auto &other) {
                                         return service.routes[other.first].priority < route.priority
--- a/src/libs/gateway/enginecontroller.cpp
+++ b/src/libs/gateway/enginecontroller.cpp
@@ -278,6 +278,17 @@
         m_pendingLoad.reset();
 }
 
+auto EngineController::acceptedLoad(TimePoint now) const
+    -> std::optional<std::pair<std::string, std::chrono::milliseconds>>
+{
+    if (!m_pendingLoad || m_orderUnderWay || m_isUncertain)
+        return {};
+    const auto left = m_pendingLoad->startedAt + m_pendingLoad->nominal - now;
+    return std::pair(
+        m_pendingLoad->model,
+        std::chrono::ceil<std::chrono::milliseconds>(std::max(left, Utils::Duration::zero())));
+}
+
 /// Schedules a tick at that time, independent of the planning rounds.
 auto EngineController::wakeAt(TimePoint at) -> void
 {
--- a/src/libs/gateway/enginecontroller.h
+++ b/src/libs/gateway/enginecontroller.h
@@ -71,6 +71,9 @@
     /// if the model is loaded from a copy.
     auto load(const std::string &model, std::chrono::milliseconds expected, int storeLoads,
               Utils::TimePoint now) -> void;
+    /// The model of an accepted load order, and the rest of its nominal time.
+    auto acceptedLoad(Utils::TimePoint now) const
+        -> std::optional<std::pair<std::string, std::chrono::milliseconds>>;
     auto unload(const std::string &model, Utils::TimePoint now) -> void;
     /// Queues the load of an adapter; if all slots are taken, it replaces the least recently used
     /// one.
--- a/src/libs/gateway/engineplacement.cpp
+++ b/src/libs/gateway/engineplacement.cpp
@@ -70,6 +70,21 @@
     }
 }
 
+/// The loads that engines have accepted, at their times according to the configuration.
+auto EnginePlacement::expectedModels(TimePoint now) const -> std::vector<Admission::ExpectedModel>
+{
+    std::vector<Admission::ExpectedModel> expected;
+    for (const auto &[key, controller] : m_controllers) {
+        const BackendServer *server = m_context.board.find(idOf(key));
+        const auto load = controller->acceptedLoad(now);
+        if (server && load)
+            expected.push_back({server->service, load->first, load->second});
+    }
+    std::sort(expected.begin(), expected.end(),
+              [](const auto &a, const auto &b) { return a.remaining < b.remaining; });
+    return expected;
+}
+
 auto EnginePlacement::engineChanged(const std::string &key, const std::string &id) -> void
 {
     const auto found = m_controllers.find(key);
--- a/src/libs/gateway/engineplacement.h
+++ b/src/libs/gateway/engineplacement.h
@@ -2,10 +2,12 @@
 
 #include "demandtracker.h"
 #include "enginecontroller.h"
-#include "storeloadlimiter.h"
 #include "swapplanner.h"
 #include "unansweredorders.h"
 
+#include <admission/forecastsource.h>
+#include <placement/storeloadlimiter.h>
+
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -19,7 +21,7 @@
 
 /// Tracks and orders the contents of all model engines on the gateway that holds the lease. It is
 /// discarded when another gateway gets the lease, so that no outdated state is reused.
-class EnginePlacement
+class EnginePlacement : public Admission::ForecastSource
 {
 public:
     struct Events
@@ -32,12 +34,14 @@
 
     /// `loadWindow` is the window over which loads from the weight store are rate-limited.
     EnginePlacement(GatewayContext &context, std::chrono::milliseconds loadWindow, Events events);
-    ~EnginePlacement();
+    ~EnginePlacement() override;
 
     /// Updates the state of all engines and sends the orders that the demand requires.
     auto run(const std::map<ModelKey, TotalDemand> &demand) -> void;
     /// Gives up the orders under way that have lost their authority.
     auto checkOrdersUnderWay() -> void;
+    auto expectedModels(Utils::TimePoint now) const
+        -> std::vector<Admission::ExpectedModel> override;
     /// Calls `visitor` for each engine with a known state.
     auto visit(const std::function<void(const std::string &id, const EngineReport &state)> &visitor)
         const -> void;
@@ -64,7 +68,7 @@
     std::map<std::string, std::unique_ptr<EngineController>> m_controllers; ///< By id and start.
     std::map<std::string, SwapPlanner> m_planners; ///< By service.
     UnansweredOrders m_unansweredOrders;
-    StoreLoadLimiter m_storeLoadLimiter;
+    Placement::StoreLoadLimiter m_storeLoadLimiter;
     std::deque<Utils::TimePoint> m_storeLoadStarts; ///< Within `m_loadWindow`.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -5,6 +5,7 @@
 #include "stopschedule.h"
 #include "streambeginnings.h"
 
+#include <admission/modelforecast.h>
 #include <net/reactor.h>
 #include <routing/crashfeature.h>
 #include <routing/retrybudget.h>
@@ -76,6 +77,8 @@
     /// Called with each stream that begins and may be taken up.
     std::function<void(StreamBeginnings::Beginning)> onStreamBegun = nullptr;
 
+    Admission::ModelForecast forecast = {}; ///< Of the placement lease's holder.
+
     /// True if new requests are refused. Timers may be late, so the clock decides.
     auto isStopping() const -> bool { return stop && !stop->acceptsRequests(reactor.now()); }
 
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -13,6 +13,7 @@
 #include "gatewaysettings.h"
 #include "incarnationverifier.h"
 #include "leavingnotifier.h"
+#include "modelstates.h"
 #include "peerlink.h"
 #include "permitexchange.h"
 #include "placementcoordinator.h"
@@ -206,10 +207,10 @@
                     static_cast<double>(configurationFollower->completeVersion().era));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
-        for (const auto &[route, count] : requestQueue.scheduler().waitingByRoute())
+        for (const auto &[route, count] : requestQueue.admission().scheduler().waitingByRoute())
             metrics.set("acacia_waiting_requests", count, {{"route", route}});
         const auto now = reactor.now();
-        const auto oldest = requestQueue.scheduler().oldestArrival().value_or(now);
+        const auto oldest = requestQueue.admission().scheduler().oldestArrival().value_or(now);
         metrics.set("acacia_longest_wait_seconds", Utils::toSeconds(now - oldest));
     }
 
@@ -609,6 +610,11 @@
     d->context.makeRetryBudget = [d] {
         return Routing::RetryBudget(d->retryRatio(), d->maxSavedRetries());
     };
+    d->requestQueue.admission().setModelStates(
+        [d](const auto &request) {
+            return modelStateOf(d->registry, d->context.configuration.get(), request);
+        },
+        d->context.forecast);
     d->context.onLeaving = [d](const std::string &backendId, std::int64_t startedAtMs) {
         d->leavingNotifier.noteAnswer(backendId, startedAtMs);
     };
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -71,7 +71,7 @@
 }
 
 /// Returns false for bytes that show that the answer is not, or no longer, this request's stream.
-auto RequestFlow::mayRelay(const StreamEvent &event) const -> bool
+auto RequestFlow::mayRelay(const Http1::StreamEvent &event) const -> bool
 {
     if (event.id || event.isComment)
         return true;
@@ -86,7 +86,7 @@
     std::string out;
     bool hasNewEvent = false;
     bool isValid = true;
-    for (const StreamEvent &event : m_splitter.feed(data)) {
+    for (const Http1::StreamEvent &event : m_splitter.feed(data)) {
         isValid = mayRelay(event);
         if (!isValid)
             break;
@@ -164,7 +164,7 @@
 /// The part of the answer that the latency objective is set for has arrived.
 auto RequestFlow::noteAnswerBegun() -> void
 {
-    m_context.requestQueue.scheduler().noteAnswered(m_waiting, m_context.reactor.now() - m_sentAt);
+    m_context.requestQueue.admission().noteAnswered(m_waiting, m_context.reactor.now() - m_sentAt);
 }
 
 auto RequestFlow::hasOutlivedBeginning() const -> bool
--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -10,6 +10,7 @@
 #include "streamorigins.h"
 #include "suspectexchange.h"
 
+#include <admission/retryafter.h>
 #include <http1/serverconnection.h>
 #include <monitoring/metrics.h>
 #include <utils/eventlog.h>
@@ -92,10 +93,11 @@
                  m_arrivedAt + m_route->latencyObjective,
                  m_waitEnd};
     const auto now = m_context.reactor.now();
-    m_context.requestQueue.scheduler().noteArrived(m_waiting, now);
+    m_context.requestQueue.admission().noteArrived(m_waiting, now);
     if (takesUpStream())
         return findOrigin();
-    if (m_context.requestQueue.scheduler().hasClaimBefore(m_waiting, now) || !trySend())
+    const auto &scheduler = m_context.requestQueue.admission().scheduler();
+    if (scheduler.hasClaimBefore(m_waiting, now) || !trySend())
         waitForServer();
 }
 
@@ -459,6 +461,20 @@
         && m_context.rateLimits.all().empty() && !m_permitTicket;
 }
 
+/// False if the caller gains from waiting on: a permit may be under way, or an answer has begun.
+auto RequestFlow::mayRefuseEarly() const -> bool
+{
+    return m_isWaiting && m_possibleRuns == 0 && !m_answerBegun && !m_streamVersion
+        && m_context.rateLimits.all().empty();
+}
+
+auto RequestFlow::refuseEarly(Admission::AdmissionController::Ground ground) -> void
+{
+    m_context.metrics.count("acacia_early_refusals_total",
+                            {{"reason", Admission::AdmissionController::nameOf(ground)}});
+    refuse(RefusalReason::WouldMissDeadline);
+}
+
 auto RequestFlow::trySend() -> bool
 {
     // Does not send a request whose caller disconnected while this process was busy or suspended.
@@ -573,10 +589,8 @@
 auto RequestFlow::noteSent() -> void
 {
     m_sentAt = m_context.reactor.now();
-    if (m_sends > 1)
-        return;
-    m_context.requestQueue.scheduler().noteSent(m_waiting, m_sentAt);
-    if (m_sentAt > m_waiting.objective)
+    m_context.requestQueue.admission().noteSent(m_waiting, m_sends == 1, m_sentAt);
+    if (m_sends == 1 && m_sentAt > m_waiting.objective)
         m_context.metrics.count("acacia_sent_late_total", {{"route", m_route->name}});
 }
 
@@ -646,31 +660,37 @@
 
 auto RequestFlow::retryAfter(RefusalReason reason) -> std::optional<milliseconds>
 {
+    const auto now = m_context.reactor.now();
+    Duration wait =
+        m_context.requestQueue.admission().expectedWait(m_waiting.id).value_or(Duration::zero());
     switch (reason) {
     case RefusalReason::OverContract: {
         const double cost =
             m_context.quota.costOf(*m_customer, m_request.hasTokenCount, m_request.tokens());
-        const auto needed =
-            m_context.quota.reserveForRetry(m_customer->name, cost, m_context.reactor.now());
+        const auto needed = m_context.quota.reserveForRetry(m_customer->name, cost, now);
         return std::clamp(duration_cast<milliseconds>(needed), Constants::DefaultRetryAfter,
                           Constants::MaxRetryAfter);
     }
-    case RefusalReason::NoBackendServer: {
-        const auto now = m_context.reactor.now();
-        const auto pauseEnd = m_context.board.pauseEnd(requirements(), now).value_or(now);
-        return std::clamp(duration_cast<milliseconds>(pauseEnd - now), Constants::DefaultRetryAfter,
-                          Constants::MaxRetryAfter);
-    }
+    case RefusalReason::NoBackendServer:
+        // A delay that the servers asked for is passed on as it is.
+        if (const auto pauseEnd = m_context.board.pauseEnd(requirements(), now))
+            return std::clamp(duration_cast<milliseconds>(*pauseEnd - now),
+                              Constants::DefaultRetryAfter, Constants::MaxRetryAfter);
+        break;
     case RefusalReason::WouldMissDeadline:
-        return std::max(duration_cast<milliseconds>(m_permitDelay), Constants::DefaultRetryAfter);
+        wait = std::max(wait, m_permitDelay);
+        break;
+    case RefusalReason::LoadFailed:
+        break;
     case RefusalReason::NotFresh:
     case RefusalReason::Draining:
-    case RefusalReason::LoadFailed:
     case RefusalReason::UnknownStream:
         return Constants::DefaultRetryAfter;
     default:
         return {};
     }
+    return Admission::retryAfter(std::max<Duration>(wait, Constants::DefaultRetryAfter),
+                                 m_request.attemptId);
 }
 
 auto RequestFlow::refuse(RefusalReason reason) -> void
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -3,11 +3,11 @@
 #include "backendattempt.h"
 #include "backendregistry.h"
 #include "demandtracker.h"
-#include "eventsplitter.h"
 #include "wireformat.h"
 
+#include <admission/admissioncontroller.h>
 #include <admission/refusal.h>
-#include <admission/waitingrequest.h>
+#include <http1/eventsplitter.h>
 #include <net/reactor.h>
 #include <routing/crashfeature.h>
 #include <routing/crashverdicts.h>
@@ -43,6 +43,9 @@
     auto handleCallerDisconnect() -> void;
     /// Sends the request if a backend server has capacity now.
     auto tryDispatch() -> void;
+    auto attemptId() const -> const std::string & { return m_request.attemptId; }
+    auto mayRefuseEarly() const -> bool;
+    auto refuseEarly(Admission::AdmissionController::Ground ground) -> void;
     /// True if nothing but free slots decides whether the request can be sent.
     auto mayUseAnyServer() const -> bool;
     /// Refuses the request because the process is stopping.
@@ -101,7 +104,7 @@
     auto relayEvents(std::string_view data) -> bool;
     auto beginStream() -> void;
     auto bindToVersion() -> void;
-    auto mayRelay(const StreamEvent &event) const -> bool;
+    auto mayRelay(const Http1::StreamEvent &event) const -> bool;
     auto startSilenceTimer() -> void;
     auto handleSilence() -> void;
 
@@ -167,7 +170,7 @@
     BackendAnswer m_answer;
     bool m_hasHead = false;
     std::string m_body;
-    EventSplitter m_splitter;
+    Http1::EventSplitter m_splitter;
     std::optional<std::int64_t> m_lastEvent; ///< Last event that was sent to the caller.
     bool m_answerBegun = false;
     bool m_hasEventsWithoutId = false; ///< Some were sent to the caller.
--- a/src/libs/gateway/requestqueue.cpp
+++ b/src/libs/gateway/requestqueue.cpp
@@ -18,7 +18,7 @@
                        const Admission::WaitingRequest &request) -> void
 {
     m_flows[request.id] = flow;
-    m_scheduler->add(request);
+    m_admission.add(request, m_reactor.now());
     // The request may not have been tried, as others wait for the same slots.
     wake();
 }
@@ -26,7 +26,7 @@
 auto RequestQueue::remove(std::uint64_t id) -> void
 {
     m_flows.erase(id);
-    m_scheduler->remove(id, m_reactor.now());
+    m_admission.remove(id, m_reactor.now());
 }
 
 auto RequestQueue::clear() -> void
@@ -50,12 +50,12 @@
 auto RequestQueue::dispatchAll() -> void
 {
     std::set<std::string> fullPools;
-    for (const std::uint64_t id : m_scheduler->order(m_reactor.now())) {
+    for (const std::uint64_t id : m_admission.order(m_reactor.now())) {
         const auto found = m_flows.find(id);
         if (found == m_flows.end())
             continue;
         const auto flow = found->second;
-        const std::string pool = m_scheduler->find(id)->pool();
+        const std::string pool = m_admission.scheduler().find(id)->pool();
         const bool mayUseAnyServer = flow->mayUseAnyServer();
         if (mayUseAnyServer && fullPools.count(pool) > 0)
             continue;
@@ -63,6 +63,15 @@
         if (mayUseAnyServer && m_flows.count(id) > 0)
             fullPools.insert(pool);
     }
+    const auto now = m_reactor.now();
+    for (const auto &refusal : m_admission.findHopeless(now)) {
+        const auto found = m_flows.find(refusal.id);
+        const auto flow = found == m_flows.end() ? nullptr : found->second;
+        if (flow && flow->mayRefuseEarly()) {
+            m_refusalLog.note(flow->attemptId(), refusal, now);
+            flow->refuseEarly(refusal.ground);
+        }
+    }
 }
 
 } // namespace Gateway
--- a/src/libs/gateway/requestqueue.h
+++ b/src/libs/gateway/requestqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <admission/requestscheduler.h>
+#include <admission/admissioncontroller.h>
+#include <admission/refusallog.h>
 
 #include <cstdint>
 #include <map>
@@ -14,13 +15,13 @@
 
 class RequestFlow;
 
-/// Requests that wait for a backend server; offers free slots to them in the scheduler's order.
+/// Requests that wait for a backend server; sends or refuses them as the admission controller says.
 class RequestQueue
 {
 public:
     explicit RequestQueue(Net::Reactor &reactor);
 
-    auto scheduler() -> Admission::RequestScheduler & { return *m_scheduler; }
+    auto admission() -> Admission::AdmissionController & { return m_admission; }
     auto makeId() -> std::uint64_t { return ++m_lastId; }
     auto add(const std::shared_ptr<RequestFlow> &flow, const Admission::WaitingRequest &request)
         -> void;
@@ -35,7 +36,9 @@
     auto dispatchAll() -> void;
 
     Net::Reactor &m_reactor;
-    std::unique_ptr<Admission::RequestScheduler> m_scheduler = Admission::makeShareScheduler();
+    Admission::AdmissionController m_admission{Admission::makeShareScheduler(),
+                                               Admission::makeSlotWaitEstimator()};
+    Admission::RefusalLog m_refusalLog;
     std::map<std::uint64_t, std::shared_ptr<RequestFlow>> m_flows;
     std::uint64_t m_lastId = 0;
     bool m_isDispatchScheduled = false;
--- a/src/libs/gateway/eventsplitter.cpp
+++ b/src/libs/http1/eventsplitter.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace Gateway {
+namespace Http1 {
 
 namespace {
 
@@ -80,4 +80,4 @@
     return events;
 }
 
-} // namespace Gateway
+} // namespace Http1
--- a/src/libs/gateway/eventsplitter.h
+++ b/src/libs/http1/eventsplitter.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace Gateway {
+namespace Http1 {
 
 /// One complete event of an event stream, as received.
 struct StreamEvent
@@ -33,4 +33,4 @@
     std::string m_buffer;
 };
 
-} // namespace Gateway
+} // namespace Http1
--- a/src/libs/monitoring/metrics.cpp
+++ b/src/libs/monitoring/metrics.cpp
@@ -24,6 +24,8 @@
          "Streams that were taken up, by how the version that began them was found."},
         {"acacia_sent_late_total", "counter",
          "Requests sent to a backend server after their latency objective, by route."},
+        {"acacia_early_refusals_total", "counter",
+         "Waiting requests refused before their time was over, by reason."},
         {"acacia_waiting_requests", "gauge", "Requests that wait at this gateway, by route."},
         {"acacia_longest_wait_seconds", "gauge",
          "Longest time that one of the waiting requests has waited at this gateway."},
--- a/src/libs/gateway/storeloadlimiter.cpp
+++ b/src/libs/placement/storeloadlimiter.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace Gateway {
+namespace Placement {
 
 namespace {
 
@@ -43,4 +43,4 @@
     }
 }
 
-} // namespace Gateway
+} // namespace Placement
--- a/src/libs/gateway/storeloadlimiter.h
+++ b/src/libs/placement/storeloadlimiter.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 
-namespace Gateway {
+namespace Placement {
 
 /// Limits the concurrent loads from the weight store. Beyond an unknown number of loads, each
 /// additional one takes proportionally longer. The limit is estimated from the duration of loads;
@@ -23,4 +23,4 @@
     int m_loadsUntilProbe = 1; ///< Loads at full speed until the next probe.
 };
 
-} // namespace Gateway
+} // namespace Placement
--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -156,6 +156,9 @@
          "A request was sent to a backend server that has named a limit."},
         {Event::PermitRefused, "permit-refused",
          "A server's limit leaves no room for the request in time; the next free time is given."},
+        {Event::RequestRefusedEarly, "request-refused-early",
+         "A waiting request can't get a slot in time; the estimate and what it is based on are "
+         "given."},
         {Event::StreamOriginFound, "stream-origin-found",
          "The software version that began a stream was found; source is memory, single-version or "
          "record."},
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -45,6 +45,7 @@
     StreamEnded = 303,
     RequestSentUnderLimit = 304,
     PermitRefused = 305,
+    RequestRefusedEarly = 306,
     StreamOriginFound = 310,
     StreamOriginUnknown = 311,
     LoadOrdered = 400,
