--- a/src/libs/gateway/dutymessages.cpp
+++ b/src/libs/gateway/dutymessages.cpp
@@ -1,5 +1,6 @@
 #include "dutymessages.h"
 
+#include <admission/modelforecast.h>
 #include <utils/jsonfield.h>
 
 namespace Gateway {
@@ -45,13 +46,16 @@
     json addresses = json::array();
     for (const auto &address : members)
         addresses.push_back(address.toString());
-    return {{"kind", Kind},
-            {"name", name},
-            {"lease", versionToJson(lease)},
-            {"gateways", gateways},
-            {"seen", storeViewToJson(seen)},
-            {"members", addresses},
-            {"heard", isReceiverAlive}};
+    json message = {{"kind", Kind},
+                    {"name", name},
+                    {"lease", versionToJson(lease)},
+                    {"gateways", gateways},
+                    {"seen", storeViewToJson(seen)},
+                    {"members", addresses},
+                    {"heard", isReceiverAlive}};
+    if (forecast)
+        message["forecast"] = Admission::ModelForecast::toJson(*forecast);
+    return message;
 }
 
 auto HolderMessage::fromJson(const json &message) -> HolderMessage
@@ -61,6 +65,7 @@
     result.lease = versionFromJson(fieldOr(message, "lease", json()));
     result.gateways = fieldOr(message, "gateways", 0);
     result.seen = storeViewFromJson(message);
+    result.forecast = Admission::ModelForecast::fromJson(fieldOr(message, "forecast", json()));
     result.isReceiverAlive = fieldOr(message, "heard", false);
     for (const auto &text : fieldOr(message, "members", std::vector<std::string>())) {
         const auto address = Http1::SocketAddress::parse(text);
--- a/src/libs/gateway/dutymessages.h
+++ b/src/libs/gateway/dutymessages.h
@@ -3,12 +3,14 @@
 #include "demandtracker.h"
 #include "wireformat.h"
 
+#include <admission/forecastsource.h>
 #include <http1/socketaddress.h>
 #include <utils/storeversion.h>
 
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,8 @@
     std::vector<Http1::SocketAddress> members; ///< Addresses of the gateways that the holder knows.
     bool isReceiverAlive =
         false; ///< The holder recently received a message from the gateway that this is sent to.
+    /// Loads under way; unset from gateways of versions that send none.
+    std::optional<std::vector<Admission::ExpectedModel>> forecast = {};
 
     auto toJson() const -> nlohmann::json;
     static auto fromJson(const nlohmann::json &message) -> HolderMessage;
--- a/src/libs/gateway/placementcoordinator.cpp
+++ b/src/libs/gateway/placementcoordinator.cpp
@@ -419,6 +419,8 @@
         message.gateways = gatewayCount();
         message.seen = ownStoreView();
         message.members = aggregator.gateways();
+        message.forecast = placement->expectedModels(now());
+        context.forecast.receive(*message.forecast, milliseconds(0), now());
         for (const auto &address : message.members) {
             message.isReceiverAlive = aggregator.hasRecentReport(address, now());
             link.send(address, message.toJson());
@@ -505,6 +507,9 @@
         resetHolderState();
         holderLastSeenAt = now();
         handlePeerStoreView(message.seen);
+        context.forecast.clear();
+        if (message.forecast)
+            context.forecast.receive(*message.forecast, milliseconds(0), now());
         lease->handleHolderReport(message.name, message.lease);
         announcedGateways = message.gateways;
         announcedPeers = {sender};
