--- a/src/libs/utils/eventlog.cpp
+++ b/src/libs/utils/eventlog.cpp
@@ -162,6 +162,9 @@
          "A server's limit leaves no room for the request in time; the next free time is given."},
         {Event::RequestSentToColdServer, "request-sent-to-cold-server",
          "A request was sent to a cold server, within this gateway's share of its rate."},
+        {Event::RequestRefusedEarly, "request-refused-early",
+         "A waiting request can't get a slot in time; the estimate and what it is based on are "
+         "given."},
         {Event::StreamOriginFound, "stream-origin-found",
          "The software version that began a stream was found; source is memory, single-version or "
          "record."},
