--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -207,11 +207,12 @@
 {
     std::vector<LoadProposal> proposals;
     for (const auto &[key, waiting] : input.waitingAtVersion) {
-        const auto &[name, version] = key;
+        const std::string &name = key.first;
+        const std::string &version = key.second;
         const auto model = input.description->models.find(name);
-        const bool isHeld =
-            std::any_of(input.engines.begin(), input.engines.end(), [&key](const auto &engine) {
-                return engine.models.count(key.first) > 0 && engine.softwareVersion == key.second;
+        const bool isHeld = std::any_of(
+            input.engines.begin(), input.engines.end(), [&name, &version](const auto &engine) {
+                return engine.models.count(name) > 0 && engine.softwareVersion == version;
             });
         if (isHeld || model == input.description->models.end())
             continue;
--- a/src/libs/placement/engineledger.h
+++ b/src/libs/placement/engineledger.h
@@ -28,8 +28,7 @@
     /// Orders that may still arrive are unknown: nothing may be loaded.
     auto block() -> void { m_isBlocked = true; }
 
-    /// Memory that models have to give up before this one can be loaded: at most 0 if it fits,
-    /// unset by `mayFitModel` if unloading doesn't help.
+    /// Memory that has to be freed before the model can be loaded; at most 0 if it fits now.
     auto missingForModel(double mb) const -> double;
     /// False if late orders leave too little even in an empty engine.
     auto mayFitModel(double mb) const -> bool;
--- a/src/libs/routing/crashfeature.cpp
+++ b/src/libs/routing/crashfeature.cpp
@@ -49,8 +49,8 @@
 auto CrashFeature::fromString(const std::string &text) -> std::optional<CrashFeature>
 {
     CrashFeature feature;
-    const auto hasPrefix = [&text](Kind kind) {
-        return text.size() >= 2 && text.front() == prefixOf(kind);
+    const auto hasPrefix = [&text](Kind expected) {
+        return text.size() >= 2 && text.front() == prefixOf(expected);
     };
     if (hasPrefix(Kind::Run))
         feature.kind = Kind::Run;
--- a/tests/auto/gateway/tst_copystock.cpp
+++ b/tests/auto/gateway/tst_copystock.cpp
@@ -1,8 +1,8 @@
 // Tests that copies of weights are replenished: engines that leave take their copies along, and the
 // weight store serves only a few loads at a time.
 
-#include <placement/storeloadlimiter.h>
 #include <gateway/swapplanner.h>
+#include <placement/storeloadlimiter.h>
 
 #include <gtest/gtest.h>
 
