--- a/src/libs/gateway/enginememory.cpp
+++ b/src/libs/gateway/enginememory.cpp
@@ -2,6 +2,8 @@
 
 #include "swapplanner.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 auto weightsOf(const EngineDescription &description, const std::string &model) -> double
@@ -16,6 +18,20 @@
     return found == description.models.end() ? 0 : found->second.adapterMb;
 }
 
+auto maxAdapterMemoryMb(const EngineDescription &description) -> double
+{
+    double largest = 0;
+    for (const auto &[name, model] : description.models)
+        largest = std::max(largest, model.adapterMb);
+    return largest * description.adapterSlots;
+}
+
+auto isLoadingFromStore(const PlannedEngine &engine) -> bool
+{
+    return !engine.loadingModel.empty() && engine.copiesInMemory.count(engine.loadingModel) == 0
+        && engine.copiesOnDisk.count(engine.loadingModel) == 0;
+}
+
 auto ledgerOf(const EngineDescription &description, const PlannedEngine &engine)
     -> Placement::EngineLedger
 {
--- a/src/libs/gateway/enginememory.h
+++ b/src/libs/gateway/enginememory.h
@@ -21,6 +21,9 @@
 auto weightsOf(const EngineDescription &description, const std::string &model) -> double;
 /// Memory of any adapter of the model in MB; 0 for an unknown model.
 auto adapterMemoryOf(const EngineDescription &description, const std::string &model) -> double;
+/// Memory of adapters in all slots, of the model with the largest ones.
+auto maxAdapterMemoryMb(const EngineDescription &description) -> double;
+auto isLoadingFromStore(const PlannedEngine &engine) -> bool;
 /// What the engine holds and may still load, for the planning of models and of adapters.
 auto ledgerOf(const EngineDescription &description, const PlannedEngine &engine)
     -> Placement::EngineLedger;
--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -52,20 +52,6 @@
 /// Requests that have waited longer than this no longer wait for a copy at a busy engine.
 constexpr double MaxWaitForBusyEngineMs = 2000;
 
-auto maxAdapterMemoryMb(const EngineDescription &description) -> double
-{
-    double largest = 0;
-    for (const auto &[name, model] : description.models)
-        largest = std::max(largest, model.adapterMb);
-    return largest * description.adapterSlots;
-}
-
-auto isLoadingFromStore(const PlannedEngine &engine) -> bool
-{
-    return !engine.loadingModel.empty() && engine.copiesInMemory.count(engine.loadingModel) == 0
-        && engine.copiesOnDisk.count(engine.loadingModel) == 0;
-}
-
 } // namespace
 
 auto SwapPlanner::makeSnapshot(const Input &input) const -> Snapshot
@@ -206,22 +192,21 @@
 auto SwapPlanner::versionProposals(const Input &input) const -> std::vector<LoadProposal>
 {
     std::vector<LoadProposal> proposals;
-    for (const auto &[key, waiting] : input.waitingAtVersion) {
-        const std::string &name = key.first;
-        const std::string &version = key.second;
-        const auto model = input.description->models.find(name);
-        const bool isHeld = std::any_of(
-            input.engines.begin(), input.engines.end(), [&name, &version](const auto &engine) {
-                return engine.models.count(name) > 0 && engine.softwareVersion == version;
+    for (const auto &item : input.waitingAtVersion) {
+        const auto &key = item.first;
+        const auto model = input.description->models.find(key.first);
+        const bool isHeld =
+            std::any_of(input.engines.begin(), input.engines.end(), [&key](const auto &engine) {
+                return engine.models.count(key.first) > 0 && engine.softwareVersion == key.second;
             });
         if (isHeld || model == input.description->models.end())
             continue;
         LoadProposal proposal;
         proposal.model = &model->second;
-        proposal.benefit = WaitingWeight * waiting;
+        proposal.benefit = WaitingWeight * item.second;
         proposal.reason = "continuation";
         proposal.isUrgent = true;
-        proposal.softwareVersion = version;
+        proposal.softwareVersion = key.second;
         proposals.push_back(proposal);
     }
     return proposals;
