Resource limits: memory and descriptors of clients' connections

Cause: nothing bounded what clients make a gateway hold. A budget for each process is derived from memoryMb and maxFds (Resources::ResourceLimits); every connection of a client is accounted, and Resources::LoadShedder chooses the one that is given up. Answers are not read on from servers while clients don't take them, requests sent ahead wait, accepting pauses when descriptors run out.

Ruled out: a limit on the number of fields, which requests inside maxHeaderBytes would meet.

--- a/src/libs/gateway/backendattempt.cpp
+++ b/src/libs/gateway/backendattempt.cpp
@@ -116,8 +116,7 @@
         return data;
     }
 
-    auto send(Utils::Result<BackendConnection, std::string> opened, const std::string &request)
-        -> void
+    auto send(Utils::Result<BackendConnection, std::string> opened, std::string request) -> void
     {
         if (!opened)
             return failLater();
@@ -150,7 +149,7 @@
             sentAt = context->reactor.now();
             return true;
         };
-        connection.http->call(request, std::move(callEvents));
+        connection.http->call(std::move(request), std::move(callEvents));
     }
 
     static auto translate(Http1::CallEnd outcome) -> AttemptEnd
@@ -185,18 +184,19 @@
 }
 
 auto BackendAttempt::start(GatewayContext &context, const BackendServer &server,
-                           const std::string &request, const std::string &attemptId,
+                           std::string request, const std::string &attemptId,
                            Utils::Duration maxIdle, Events events)
     -> std::unique_ptr<BackendAttempt>
 {
     auto data = Private::create(context, server, attemptId, std::move(events));
     std::unique_ptr<BackendAttempt> attempt(new BackendAttempt(data));
-    data->send(context.pool.acquire(server.id, server.address, maxIdle, attemptId), request);
+    data->send(context.pool.acquire(server.id, server.address, maxIdle, attemptId),
+               std::move(request));
     return attempt;
 }
 
 auto BackendAttempt::startExclusive(GatewayContext &context, const BackendServer &server,
-                                    const std::string &request,
+                                    std::string request,
                                     std::function<std::chrono::milliseconds()> deliveryTimeout,
                                     Events events) -> std::unique_ptr<BackendAttempt>
 {
@@ -206,7 +206,7 @@
     auto connection = context.pool.open(server.address);
     if (connection)
         connection->http->setResetsOnClose();
-    data->send(std::move(connection), request);
+    data->send(std::move(connection), std::move(request));
     return attempt;
 }
 
@@ -220,6 +220,18 @@
     d->context->pool.discard(std::move(d->connection));
 }
 
+auto BackendAttempt::pauseReading() -> void
+{
+    if (d->connection.http)
+        d->connection.http->pauseReading();
+}
+
+auto BackendAttempt::resumeReading() -> void
+{
+    if (d->connection.http)
+        d->connection.http->resumeReading();
+}
+
 auto BackendAttempt::mayHaveArrived() const -> bool
 {
     return d->connection.http && d->connection.http->hasSent();
--- a/src/libs/gateway/backendattempt.h
+++ b/src/libs/gateway/backendattempt.h
@@ -38,9 +38,9 @@
     };
 
     /// A reused connection was idle for `maxIdle` at most.
-    static auto start(GatewayContext &context, const BackendServer &server,
-                      const std::string &request, const std::string &attemptId,
-                      Utils::Duration maxIdle, Events events) -> std::unique_ptr<BackendAttempt>;
+    static auto start(GatewayContext &context, const BackendServer &server, std::string request,
+                      const std::string &attemptId, Utils::Duration maxIdle, Events events)
+        -> std::unique_ptr<BackendAttempt>;
     ~BackendAttempt();
 
     /// Sends the request over a connection of its own, which is reset when the attempt ends or this
@@ -48,11 +48,14 @@
     /// called right before the request is written; the kernel stops sending it after that time,
     /// also if this process is suspended.
     static auto startExclusive(GatewayContext &context, const BackendServer &server,
-                               const std::string &request,
+                               std::string request,
                                std::function<std::chrono::milliseconds()> deliveryTimeout,
                                Events events) -> std::unique_ptr<BackendAttempt>;
     /// Closes the connection, so that the server stops processing the request.
     auto abandon() -> void;
+    /// Leaves the rest of the answer with the server until reading is resumed.
+    auto pauseReading() -> void;
+    auto resumeReading() -> void;
     /// True once any byte of the request may have reached the server.
     auto mayHaveArrived() const -> bool;
     auto backendId() const -> const std::string &;
--- a/src/libs/gateway/callersession.cpp
+++ b/src/libs/gateway/callersession.cpp
@@ -4,6 +4,7 @@
 #include "denialcheck.h"
 #include "gatewaycontext.h"
 #include "requestflow.h"
+#include "wireformat.h"
 
 #include <http1/serverconnection.h>
 #include <http1/tcpstream.h>
@@ -25,6 +26,17 @@
     return result;
 }
 
+auto planBody(const GatewayContext &context, const Http1::RequestHead &head) -> Http1::BodyPlan
+{
+    const auto request = context.wire.parseRequest(head, {});
+    if (!request || !context.configuration)
+        return {limitsOf(context).headTimeout, false};
+    const Route *route = context.configuration->findRoute(request->host, request->path);
+    if (!route)
+        return {limitsOf(context).headTimeout, false};
+    return {request->patience.value_or(route->timeout)};
+}
+
 } // namespace
 
 CallerSession::CallerSession(GatewayContext &context, std::unique_ptr<Http1::TcpStream> stream,
@@ -33,6 +45,10 @@
 {
     Http1::ServerConnection::Events events;
     events.limits = [&context] { return limitsOf(context); };
+    events.planBody = [&context](const Http1::RequestHead &head) {
+        return planBody(context, head);
+    };
+    events.shedder = context.shedder;
     events.onRequest = [this](const Http1::RequestHead &head, std::string &&body) {
         const auto flow = RequestFlow::create(m_context, *m_connection, head, std::move(body),
                                               [this] { m_flow.reset(); });
--- a/src/libs/gateway/gatewayconstants.h
+++ b/src/libs/gateway/gatewayconstants.h
@@ -117,6 +117,8 @@
 /// that sends more counts as failed. Answers are a few kilobytes, and many are buffered at once.
 constexpr size_t MaxAnswerBytes = 2 << 20;
 constexpr size_t MaxEventBytes = 256 << 10;
+/// Interval at which a paused answer checks whether its client has taken what it has.
+constexpr std::chrono::milliseconds RoomCheckInterval(10);
 /// Retry-After when no better estimate exists: about the time of a model swap.
 constexpr std::chrono::milliseconds DefaultRetryAfter(500);
 /// Longest Retry-After; demand cannot be predicted further ahead.
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -21,6 +21,10 @@
 class Metrics;
 }
 
+namespace Resources {
+class LoadShedder;
+}
+
 namespace Gateway {
 
 class BackendRegistry;
@@ -76,6 +80,8 @@
     /// Called with each stream that begins and may be taken up.
     std::function<void(StreamBeginnings::Beginning)> onStreamBegun = nullptr;
 
+    std::shared_ptr<Resources::LoadShedder> shedder = nullptr; ///< Of all clients' connections.
+
     /// True if new requests are refused. Timers may be late, so the clock decides.
     auto isStopping() const -> bool { return stop && !stop->acceptsRequests(reactor.now()); }
 
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -34,6 +34,7 @@
 #include <monitoring/metrics.h>
 #include <net/periodictimer.h>
 #include <net/reactor.h>
+#include <resources/loadshedder.h>
 #include <utils/boottime.h>
 #include <utils/eventlog.h>
 
@@ -73,7 +74,10 @@
                        [this] { return Utils::bootTime() - reactor.now(); }})
         , context{r,      w,           registry, pool,    quota, requestQueue,
                   demand, denialCheck, metrics,  nullptr, {},    nullptr}
-    { }
+    {
+        context.shedder = std::make_shared<Resources::LoadShedder>(
+            Resources::ResourceLimits::create(s.memoryMb, s.maxFds));
+    }
 
     Net::Reactor &reactor;
     GatewaySettings settings;
@@ -154,14 +158,16 @@
             return callers.error();
         callerListener = std::move(*callers);
         auto readiness = StatusServer::listen(
-            reactor, settings.readinessAddress, [this](const Http1::RequestHead &head) {
+            reactor, settings.readinessAddress,
+            [this](const Http1::RequestHead &head) {
                 constexpr int ok = 200;
                 constexpr int unavailable = 503;
                 constexpr int notFound = 404;
                 if (!wire.isReadinessRequest(head))
                     return StatusServer::Answer{notFound, {}};
                 return StatusServer::Answer{isReady() ? ok : unavailable, {}};
-            });
+            },
+            context.shedder);
         if (!readiness)
             return readiness.error();
         readinessServer = std::move(*readiness);
@@ -184,12 +190,14 @@
     {
         if (!settings.metricsAddress)
             return {};
-        auto server = StatusServer::listen(reactor, *settings.metricsAddress,
-                                           [this](const Http1::RequestHead &) {
-                                               constexpr int ok = 200;
-                                               setGauges();
-                                               return StatusServer::Answer{ok, metrics.text()};
-                                           });
+        auto server = StatusServer::listen(
+            reactor, *settings.metricsAddress,
+            [this](const Http1::RequestHead &) {
+                constexpr int ok = 200;
+                setGauges();
+                return StatusServer::Answer{ok, metrics.text()};
+            },
+            context.shedder);
         if (!server)
             return server.error();
         metricsServer = std::move(*server);
@@ -204,6 +212,11 @@
         metrics.set("acacia_configuration_age_seconds", age ? Utils::toSeconds(*age) : -1);
         metrics.set("acacia_store_era",
                     static_cast<double>(configurationFollower->completeVersion().era));
+        metrics.set("acacia_client_memory_bytes",
+                    static_cast<double>(context.shedder->usedBytes()));
+        metrics.set("acacia_client_connections",
+                    static_cast<double>(context.shedder->connectionCount()));
+        metrics.set("acacia_connections_shed", static_cast<double>(context.shedder->shedCount()));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
     }
--- a/src/libs/gateway/gatewaysettings.cpp
+++ b/src/libs/gateway/gatewaysettings.cpp
@@ -48,6 +48,9 @@
     settings.placement.processorShare = reader.number("processorShare", 0, 1024, 1);
     settings.placement.loadWindow =
         reader.milliseconds("loadWindowMs", settings.placement.loadWindow);
+    constexpr int largest = 1 << 20;
+    settings.memoryMb = static_cast<int>(reader.integer("memoryMb", 1, largest, settings.memoryMb));
+    settings.maxFds = static_cast<int>(reader.integer("maxFds", 1, largest, settings.maxFds));
     return settings;
 }
 
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -4,6 +4,7 @@
 #include "quotaledger.h"
 
 #include <http1/socketaddress.h>
+#include <resources/resourceconstants.h>
 
 #include <chrono>
 #include <optional>
@@ -36,6 +37,8 @@
     double retrySlack = 0; ///< Retries beyond that in one window, over all gateways.
     QuotaTolerance quotaTolerance;
     PlacementLimits placement;
+    int memoryMb = Resources::Constants::DefaultMemoryMb; ///< Of the process.
+    int maxFds = Resources::Constants::DefaultMaxFds; ///< Of the process, including files.
 };
 
 /// Reads the settings; errors are collected in the reader.
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -18,6 +18,9 @@
 /// Largest payload of a datagram.
 constexpr size_t MaxDatagramBytes = 60 << 10;
 
+/// Datagrams received at a time, so that a flood of them doesn't keep everything else waiting.
+constexpr int MaxConsecutiveDatagrams = 64;
+
 auto toSockaddr(const Http1::SocketAddress &address) -> sockaddr_in
 {
     sockaddr_in result = {};
@@ -38,7 +41,7 @@
     auto receive() -> void
     {
         std::array<char, MaxDatagramBytes> buffer;
-        while (true) {
+        for (int i = 0; i < MaxConsecutiveDatagrams; ++i) {
             sockaddr_in from = {};
             socklen_t length = sizeof from;
             const auto count = ::recvfrom(fd, buffer.data(), buffer.size(), 0,
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -67,7 +67,27 @@
     const bool isTooLarge = m_body.size() > Constants::MaxAnswerBytes
         || m_splitter.partialEventBytes() > Constants::MaxEventBytes;
     if (m_attempt && (!isValid || isTooLarge))
-        handleEnd(AttemptEnd::Broken);
+        return handleEnd(AttemptEnd::Broken);
+    if (m_caller)
+        m_caller->noteHeldAnswer(m_body.size());
+    awaitRoom();
+}
+
+/// Stops reading the answer from the server while the client doesn't take what it has.
+auto RequestFlow::awaitRoom() -> void
+{
+    const auto self = shared_from_this();
+    const bool hasRoom = !m_caller || m_caller->hasRoomForAnswer();
+    if (!m_attempt)
+        return;
+    if (hasRoom)
+        return m_attempt->resumeReading();
+    m_attempt->pauseReading();
+    startSilenceTimer();
+    m_context.reactor.callAfter(Constants::RoomCheckInterval, [weak = weak_from_this()] {
+        if (const auto flow = weak.lock())
+            flow->awaitRoom();
+    });
 }
 
 /// Returns false for bytes that show that the answer is not, or no longer, this request's stream.
--- a/src/libs/gateway/requestflow.h
+++ b/src/libs/gateway/requestflow.h
@@ -93,6 +93,7 @@
     auto noteSurvived() -> void;
     auto noteLost(bool isCutOff) -> void;
     auto handleFailure() -> void;
+    auto awaitRoom() -> void;
     auto relayEvents(std::string_view data) -> bool;
     auto beginStream() -> void;
     auto bindToVersion() -> void;
--- a/src/libs/gateway/statusserver.cpp
+++ b/src/libs/gateway/statusserver.cpp
@@ -7,18 +7,21 @@
 
 namespace Gateway {
 
-StatusServer::StatusServer(Net::Reactor &reactor, AnswerCallback answer)
+StatusServer::StatusServer(Net::Reactor &reactor, AnswerCallback answer,
+                           std::shared_ptr<Resources::LoadShedder> shedder)
     : m_reactor(reactor)
     , m_answer(std::move(answer))
+    , m_shedder(std::move(shedder))
 { }
 
 StatusServer::~StatusServer() = default;
 
 auto StatusServer::listen(Net::Reactor &reactor, const Http1::SocketAddress &address,
-                          AnswerCallback answer)
+                          AnswerCallback answer, std::shared_ptr<Resources::LoadShedder> shedder)
     -> Utils::Result<std::unique_ptr<StatusServer>, std::string>
 {
-    std::unique_ptr<StatusServer> server(new StatusServer(reactor, std::move(answer)));
+    std::unique_ptr<StatusServer> server(
+        new StatusServer(reactor, std::move(answer), std::move(shedder)));
     auto listener = Http1::TcpListener::listen(
         reactor, address, [raw = server.get()](std::unique_ptr<Http1::TcpStream> stream) {
             raw->accept(std::move(stream));
@@ -39,6 +42,10 @@
         const Answer answer = m_answer(head);
         (*it)->respond(answer.status, {}, answer.body);
     };
+    events.planBody = [](const Http1::RequestHead &) {
+        return Http1::BodyPlan{Http1::ServerLimits().headTimeout, false, false};
+    };
+    events.shedder = m_shedder;
     events.onClosed = [this, it] {
         // Deferred, as the connection is inside one of its callbacks.
         m_reactor.callAfter(Utils::Duration::zero(),
--- a/src/libs/gateway/statusserver.h
+++ b/src/libs/gateway/statusserver.h
@@ -19,6 +19,10 @@
 class Reactor;
 }
 
+namespace Resources {
+class LoadShedder;
+}
+
 namespace Gateway {
 
 /// Serves short status requests, such as readiness and metrics, at a separate address.
@@ -33,16 +37,18 @@
     using AnswerCallback = std::function<Answer(const Http1::RequestHead &)>;
 
     static auto listen(Net::Reactor &reactor, const Http1::SocketAddress &address,
-                       AnswerCallback answer)
+                       AnswerCallback answer, std::shared_ptr<Resources::LoadShedder> shedder)
         -> Utils::Result<std::unique_ptr<StatusServer>, std::string>;
     ~StatusServer();
 
 private:
-    StatusServer(Net::Reactor &reactor, AnswerCallback answer);
+    StatusServer(Net::Reactor &reactor, AnswerCallback answer,
+                 std::shared_ptr<Resources::LoadShedder> shedder);
     auto accept(std::unique_ptr<Http1::TcpStream> stream) -> void;
 
     Net::Reactor &m_reactor;
     AnswerCallback m_answer;
+    std::shared_ptr<Resources::LoadShedder> m_shedder;
     std::unique_ptr<Http1::TcpListener> m_listener;
     std::list<std::unique_ptr<Http1::ServerConnection>> m_connections;
 };
--- a/src/libs/http1/clientconnection.cpp
+++ b/src/libs/http1/clientconnection.cpp
@@ -95,6 +95,8 @@
         if (how != CallEnd::Complete)
             reusable = false;
         inCall = false;
+        if (stream)
+            stream->resumeReading();
         const auto onEnd = std::move(events.onEnd);
         events = {};
         onEnd(how);
@@ -134,7 +136,7 @@
     return std::unique_ptr<ClientConnection>(new ClientConnection(std::move(data)));
 }
 
-auto ClientConnection::call(std::string_view request, CallEvents events) -> void
+auto ClientConnection::call(std::string request, CallEvents events) -> void
 {
     d->events = std::move(events);
     d->inCall = true;
@@ -143,7 +145,19 @@
     d->skippedBytes = 0;
     d->hasAnswerBytes = false;
     d->hasSentEarlierCall = d->stream->hasSent();
-    d->stream->write(request);
+    d->stream->writeWhole(std::move(request));
+}
+
+auto ClientConnection::pauseReading() -> void
+{
+    if (d->stream)
+        d->stream->pauseReading();
+}
+
+auto ClientConnection::resumeReading() -> void
+{
+    if (d->stream)
+        d->stream->resumeReading();
 }
 
 auto ClientConnection::abandon() -> void
--- a/src/libs/http1/clientconnection.h
+++ b/src/libs/http1/clientconnection.h
@@ -44,7 +44,10 @@
         -> Utils::Result<std::unique_ptr<ClientConnection>, std::string>;
     ~ClientConnection();
 
-    auto call(std::string_view request, CallEvents events) -> void;
+    auto call(std::string request, CallEvents events) -> void;
+    /// Leaves the rest of the answer with the peer until reading is resumed.
+    auto pauseReading() -> void;
+    auto resumeReading() -> void;
     /// Abandons the call: its callbacks are no longer called, and the connection can't be reused.
     auto abandon() -> void;
     /// Closes the connection immediately, so that the peer stops working on the call.
--- a/src/libs/http1/head.cpp
+++ b/src/libs/http1/head.cpp
@@ -24,6 +24,24 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+auto lowered(std::string_view text) -> std::string
+{
+    std::string result(text);
+    for (char &letter : result)
+        letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    return result;
+}
+
+/// Adds the tokens of a comma-separated list in lower case.
+auto addTokens(std::string_view list, std::vector<std::string> &tokens) -> void
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        tokens.push_back(lowered(trimmed(list.substr(0, comma))));
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+}
+
 auto statusText(int status) -> const char *
 {
     return http_status_str(static_cast<http_status>(status));
@@ -72,16 +90,31 @@
 auto Fields::endToEnd() const -> Fields
 {
     Fields kept;
+    // Looking for each name in all fields would take seconds for heads of thousands of fields.
+    std::vector<std::string> named;
+    for (const Field &field : m_fields) {
+        if (equalsIgnoringCase(field.name, "connection"))
+            addTokens(field.value, named);
+    }
+    std::sort(named.begin(), named.end());
     for (const Field &field : m_fields) {
         const bool isHopByHop = std::any_of(hopByHop.begin(), hopByHop.end(), [&](auto name) {
             return equalsIgnoringCase(name, field.name);
         });
-        if (!isHopByHop && !hasToken("connection", field.name))
+        if (!isHopByHop && !std::binary_search(named.begin(), named.end(), lowered(field.name)))
             kept.m_fields.push_back(field);
     }
     return kept;
 }
 
+auto Fields::memoryBytes() const -> size_t
+{
+    size_t bytes = m_fields.capacity() * sizeof(Field);
+    for (const Field &field : m_fields)
+        bytes += field.name.size() + field.value.size();
+    return bytes;
+}
+
 auto RequestHead::path() const -> std::string_view
 {
     return std::string_view(target).substr(0, target.find('?'));
--- a/src/libs/http1/head.h
+++ b/src/libs/http1/head.h
@@ -31,6 +31,8 @@
     auto all() const -> const std::vector<Field> & { return m_fields; }
     /// Returns the fields without hop-by-hop fields, including those that Connection names.
     auto endToEnd() const -> Fields;
+    /// Memory that the fields take, which is far more than their bytes if they are short.
+    auto memoryBytes() const -> size_t;
 
 private:
     std::vector<Field> m_fields;
--- a/src/libs/http1/messagereader.cpp
+++ b/src/libs/http1/messagereader.cpp
@@ -26,6 +26,7 @@
     ReadError error = ReadError::None;
     bool headComplete = false;
     bool complete = false;
+    std::uint64_t expectedBytes = 0; ///< Of the body, if its head tells.
 
     auto initialize() -> void
     {
@@ -40,6 +41,7 @@
         bodyBytes = 0;
         headComplete = false;
         complete = false;
+        expectedBytes = 0;
     }
 
     auto flushField() -> void
@@ -110,6 +112,7 @@
                     state.error = ReadError::BodyTooLarge;
                     return -1;
                 }
+                state.expectedBytes = p->content_length == unknownLength ? 0 : p->content_length;
                 state.emitHead();
                 return 0;
             };
@@ -175,7 +178,7 @@
         }
         headBytes.resize(length);
         const std::string head = std::move(headBytes);
-        headBytes.clear();
+        std::string().swap(headBytes);
         execute(head);
         return length + skipped - before;
     }
@@ -204,6 +207,16 @@
     return consumed;
 }
 
+auto MessageReader::headBytes() const -> size_t
+{
+    return d->headBytes.size();
+}
+
+auto MessageReader::expectedBodyBytes() const -> size_t
+{
+    return static_cast<size_t>(d->expectedBytes);
+}
+
 auto MessageReader::finish() -> void
 {
     if (d->complete || d->error != ReadError::None || !hasBegun())
--- a/src/libs/http1/messagereader.h
+++ b/src/libs/http1/messagereader.h
@@ -55,6 +55,10 @@
     /// True once a byte of the current message has been received.
     auto hasBegun() const -> bool;
     auto headIsComplete() const -> bool;
+    /// Bytes of an incomplete head that are kept.
+    auto headBytes() const -> size_t;
+    /// Length of the body that the head names, or 0.
+    auto expectedBodyBytes() const -> size_t;
 
 private:
     struct Private;
--- a/src/libs/http1/serverconnection.h
+++ b/src/libs/http1/serverconnection.h
@@ -14,10 +14,23 @@
 class Reactor;
 }
 
+namespace Resources {
+class LoadShedder;
+struct ConnectionUse;
+} // namespace Resources
+
 namespace Http1 {
 
 class TcpStream;
 
+/// What is known of a request when its head has been received.
+struct BodyPlan
+{
+    Utils::Duration timeout; ///< For the rest of the request.
+    bool isRouted = true; ///< False if no server will get the request.
+    bool isKept = true; ///< False if nobody reads the body.
+};
+
 /// Limits on the size of a client's requests and on the time that they may take.
 struct ServerLimits
 {
@@ -40,6 +53,10 @@
         std::function<void()> onClientDisconnected;
         /// The connection has ended and is to be deleted by its owner.
         std::function<void()> onClosed;
+        /// Called with each head; without it a body has the time that a head has.
+        std::function<BodyPlan(const RequestHead &)> planBody = nullptr;
+        /// Accounts this connection and may give it up; there are no limits without it.
+        std::shared_ptr<Resources::LoadShedder> shedder = nullptr;
     };
 
     ServerConnection(Net::Reactor &reactor, std::unique_ptr<TcpStream> stream, Events events);
@@ -54,6 +71,12 @@
     /// Ends the connection in such a way that the client can't take a partial answer for complete.
     auto abort() -> void;
 
+    /// Accounts the part of the answer that the owner holds until it is whole.
+    auto noteHeldAnswer(size_t bytes) -> void;
+    /// False if no more of the answer must be read from its server until the client has taken what
+    /// there is, or other answers are gone.
+    auto hasRoomForAnswer() const -> bool;
+
     /// True if the client has closed the connection, even if this has not been read yet.
     auto clientHasDisconnected() const -> bool;
     /// True if a part of a request has been received.
--- a/src/libs/http1/tcplistener.cpp
+++ b/src/libs/http1/tcplistener.cpp
@@ -19,16 +19,40 @@
     Net::Reactor *reactor = nullptr;
     int fd = -1;
     AcceptCallback onAccept;
+    Net::Reactor::TimerId retryTimer = 0;
+
+    auto watch() -> void
+    {
+        reactor->watch(fd, {true, false}, [this](Net::Interest) { acceptAll(); });
+    }
 
     auto acceptAll() -> void
     {
         while (fd >= 0) {
             const int accepted = ::accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-            if (accepted < 0)
-                return;
-            onAccept(TcpStream::adopt(*reactor, accepted));
+            if (accepted >= 0) {
+                onAccept(TcpStream::adopt(*reactor, accepted));
+                continue;
+            }
+            if (errno == EINTR || errno == ECONNABORTED)
+                continue;
+            if (errno != EAGAIN && errno != EWOULDBLOCK)
+                pause();
+            return;
         }
     }
+
+    /// The connection that can't be accepted would keep the socket readable and the event loop
+    /// busy.
+    auto pause() -> void
+    {
+        reactor->unwatch(fd);
+        reactor->cancel(retryTimer);
+        retryTimer = reactor->callAfter(Constants::AcceptRetryDelay, [this] {
+            watch();
+            acceptAll();
+        });
+    }
 };
 
 TcpListener::TcpListener(std::unique_ptr<Private> data)
@@ -37,6 +61,7 @@
 
 TcpListener::~TcpListener()
 {
+    d->reactor->cancel(d->retryTimer);
     d->reactor->unwatch(d->fd);
     ::close(d->fd);
 }
@@ -51,6 +76,8 @@
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &Constants::ReceiveBufferBytes,
+               sizeof Constants::ReceiveBufferBytes);
     sockaddr_in bindAddress = {};
     bindAddress.sin_family = AF_INET;
     bindAddress.sin_addr.s_addr = htonl(address.ip());
@@ -63,7 +90,7 @@
         return tl::unexpected("cannot listen on " + address.toString() + ": " + reason);
     }
     data->fd = fd;
-    reactor.watch(fd, {true, false}, [d = data.get()](Net::Interest) { d->acceptAll(); });
+    data->watch();
     return std::unique_ptr<TcpListener>(new TcpListener(std::move(data)));
 }
 
--- a/src/libs/http1/tcpstream.cpp
+++ b/src/libs/http1/tcpstream.cpp
@@ -16,6 +16,16 @@
 
 namespace Http1 {
 
+namespace {
+
+/// Frees the memory of a text; assigning an empty one would keep it.
+auto release(std::string &text) -> void
+{
+    std::string().swap(text);
+}
+
+} // namespace
+
 struct TcpStream::Private : std::enable_shared_from_this<TcpStream::Private>
 {
     Net::Reactor *reactor = nullptr;
@@ -26,6 +36,8 @@
     bool sent = false;
     bool lingering = false;
     bool shutDown = false;
+    bool readingPaused = false;
+    size_t unsentOffset = 0; ///< Of the first unsent byte in `unsent`.
     Net::Reactor::TimerId lingerTimer = 0;
     std::function<void()> onSent; ///< While lingering.
 
@@ -34,7 +46,7 @@
         if (fd < 0)
             return;
         const bool wantsWrite = !connected || !unsent.empty();
-        reactor->watch(fd, {connected, wantsWrite},
+        reactor->watch(fd, {connected && !readingPaused, wantsWrite},
                        [self = shared_from_this()](Net::Interest ready) {
                            if (ready.write)
                                self->handleWritable();
@@ -97,25 +109,47 @@
             watch();
     }
 
+    /// Drops sent bytes without moving the others each time, and frees the memory at the end.
+    auto takeSent(size_t count) -> void
+    {
+        sent = true;
+        unsentOffset += count;
+        if (unsentOffset == unsent.size()) {
+            release(unsent);
+            unsentOffset = 0;
+        } else if (unsentOffset > unsent.size() / 2) {
+            unsent.substr(unsentOffset).swap(unsent);
+            unsentOffset = 0;
+        }
+    }
+
     /// Sends as much as possible; returns false if the connection ended.
     auto flush() -> bool
     {
+        bool hasProgress = false;
         while (!unsent.empty()) {
-            const auto count = ::send(fd, unsent.data(), unsent.size(), MSG_NOSIGNAL);
+            const auto count = ::send(fd, unsent.data() + unsentOffset,
+                                      unsent.size() - unsentOffset, MSG_NOSIGNAL);
             if (count < 0) {
                 if (errno == EAGAIN || errno == EWOULDBLOCK)
-                    return true;
+                    break;
                 if (errno == EINTR)
                     continue;
                 end(StreamEnd::Broken);
                 return false;
             }
-            sent = true;
-            unsent.erase(0, static_cast<size_t>(count));
+            takeSent(static_cast<size_t>(count));
+            hasProgress = true;
             if (lingering)
                 startLingerTimer();
         }
-        if (lingering && !shutDown) {
+        if (hasProgress && events.onSent) {
+            const auto notify = events.onSent;
+            notify();
+        }
+        if (fd < 0)
+            return false;
+        if (lingering && !shutDown && unsent.empty()) {
             shutDown = true;
             ::shutdown(fd, SHUT_WR);
             notifySent();
@@ -123,11 +157,25 @@
         return true;
     }
 
+    /// Sends data that was written while nothing else was unsent.
+    auto sendFirst() -> void
+    {
+        if (!connected || unsent.empty())
+            return;
+        const auto count = ::send(fd, unsent.data(), unsent.size(), MSG_NOSIGNAL);
+        if (count > 0)
+            takeSent(static_cast<size_t>(count));
+        // An error is reported again at the next writable event, which ends the connection.
+        if (!unsent.empty())
+            watch();
+    }
+
     auto handleReadable() -> void
     {
         const auto keep = shared_from_this();
         std::array<char, Constants::ReadBlockBytes> block;
-        for (int reads = 0; fd >= 0 && reads < Constants::MaxConsecutiveReads; ++reads) {
+        for (int reads = 0; fd >= 0 && !readingPaused && reads < Constants::MaxConsecutiveReads;
+             ++reads) {
             const auto count = ::recv(fd, block.data(), block.size(), 0);
             if (count < 0) {
                 if (errno == EINTR)
@@ -225,27 +273,47 @@
     if (d->fd < 0)
         return;
     const bool wasIdle = d->unsent.empty();
-    d->unsent += data;
-    if (d->unsent.size() > Constants::MaxUnsentBytes) {
+    if (unsentBytes() > Constants::MaxUnsentBytes) {
         // The event loop then reports the end, so that no callback is called inside `write`.
         ::shutdown(d->fd, SHUT_RDWR);
         return;
     }
-    if (!d->connected || !wasIdle)
+    d->unsent += data;
+    if (wasIdle)
+        d->sendFirst();
+}
+
+auto TcpStream::writeWhole(std::string data) -> void
+{
+    if (d->fd < 0 || !d->unsent.empty())
+        return write(data);
+    d->unsent = std::move(data);
+    d->sendFirst();
+}
+
+auto TcpStream::pauseReading() -> void
+{
+    d->readingPaused = true;
+    d->watch();
+}
+
+auto TcpStream::resumeReading() -> void
+{
+    if (!d->readingPaused)
         return;
-    const auto count = ::send(d->fd, d->unsent.data(), d->unsent.size(), MSG_NOSIGNAL);
-    if (count > 0) {
-        d->sent = true;
-        d->unsent.erase(0, static_cast<size_t>(count));
-    }
-    // An error is reported again at the next writable event, which ends the connection.
-    if (!d->unsent.empty())
-        d->watch();
+    d->readingPaused = false;
+    d->watch();
+    // A connection that ended meanwhile may no longer be reported by the event loop.
+    d->reactor->callAfter(Utils::Duration::zero(), [data = d] {
+        if (!data->readingPaused && !data->lingering)
+            data->handleReadable();
+    });
 }
 
 auto TcpStream::closeGracefully(std::function<void()> onSent) -> void
 {
     d->events = {};
+    d->readingPaused = false;
     d->onSent = std::move(onSent);
     if (d->fd < 0)
         return d->notifySent();
@@ -314,7 +382,7 @@
 
 auto TcpStream::unsentBytes() const -> size_t
 {
-    return d->unsent.size();
+    return d->unsent.size() - d->unsentOffset;
 }
 
 } // namespace Http1
--- a/src/libs/http1/tcpstream.h
+++ b/src/libs/http1/tcpstream.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace Net {
@@ -32,6 +33,7 @@
         /// Returning false ends the connection: this process may have been suspended, so that the
         /// data is out of date.
         std::function<bool()> maySend = nullptr;
+        std::function<void()> onSent = nullptr; ///< Called after a part of the data was sent.
     };
 
     /// Starts to connect; data written before the connection is established is sent after that.
@@ -43,6 +45,12 @@
 
     auto setEvents(Events events) -> void;
     auto write(std::string_view data) -> void;
+    /// The same without a copy if nothing else is unsent.
+    auto writeWhole(std::string data) -> void;
+    /// While reading is paused, received data stays in the kernel, and an end of the connection is
+    /// noticed only after that.
+    auto pauseReading() -> void;
+    auto resumeReading() -> void;
     /// Sends the remaining data, shuts down the sending side and discards received data for a
     /// limited time, so that the peer gets the last answer instead of a reset. Of the callbacks,
     /// only `onSent` is called, once the data has been sent or the connection has ended.
--- a/src/tools/acaciagateway/main.cpp
+++ b/src/tools/acaciagateway/main.cpp
@@ -3,9 +3,11 @@
 #include <gateway/gatewaysettings.h>
 #include <platform/platformwireformat.h>
 #include <platform/rowstoreclient.h>
+#include <resources/allocator.h>
 
 auto main(int argc, char **argv) -> int
 {
+    Resources::configureAllocator();
     Gateway::GatewaySettings settings;
     const Platform::PlatformWireFormat wire;
     std::unique_ptr<Platform::RowStoreClient> store;
--- a/tests/auto/platform/tst_resourcebodies.cpp
+++ b/tests/auto/platform/tst_resourcebodies.cpp
@@ -146,3 +146,15 @@
         requests += "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
     checkCrowd(Port::Metrics, clientCount, {requests, 64 << 10, 0});
 }
+
+// Guards against a limit on unsent bytes that includes the head: the largest allowed body was never
+// sent to a server.
+TEST_F(ResourceBodies, LargestBodyAloneIsServed)
+{
+    ASSERT_NO_FATAL_FAILURE(startProcess());
+    const auto answer = sendRequest(
+        requestHead("/file/x", "large", withLength(maxBodyBytes) + std::string(maxBodyBytes, 'x')));
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(engines.front()->arrivals().back().body.size(), maxBodyBytes);
+    checkProcess();
+}
