--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -22,6 +22,10 @@
 class Metrics;
 }
 
+namespace Resources {
+class LoadShedder;
+}
+
 namespace Gateway {
 
 class BackendRegistry;
@@ -78,6 +82,7 @@
     std::function<void(StreamBeginnings::Beginning)> onStreamBegun = nullptr;
 
     Admission::ModelForecast forecast = {}; ///< Of the placement lease's holder.
+    std::shared_ptr<Resources::LoadShedder> shedder = nullptr; ///< Of all clients' connections.
 
     /// True if new requests are refused. Timers may be late, so the clock decides.
     auto isStopping() const -> bool { return stop && !stop->acceptsRequests(reactor.now()); }
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -35,6 +35,7 @@
 #include <monitoring/metrics.h>
 #include <net/periodictimer.h>
 #include <net/reactor.h>
+#include <resources/loadshedder.h>
 #include <utils/boottime.h>
 #include <utils/eventlog.h>
 
@@ -76,7 +77,10 @@
                        [this] { return Utils::bootTime() - reactor.now(); }})
         , context{r,      w,           registry, pool,    quota, requestQueue,
                   demand, denialCheck, metrics,  nullptr, {},    nullptr}
-    { }
+    {
+        context.shedder = std::make_shared<Resources::LoadShedder>(
+            Resources::ResourceLimits::create(s.memoryMb, s.maxFds));
+    }
 
     Net::Reactor &reactor;
     GatewaySettings settings;
@@ -158,14 +162,16 @@
             return callers.error();
         callerListener = std::move(*callers);
         auto readiness = StatusServer::listen(
-            reactor, settings.readinessAddress, [this](const Http1::RequestHead &head) {
+            reactor, settings.readinessAddress,
+            [this](const Http1::RequestHead &head) {
                 constexpr int ok = 200;
                 constexpr int unavailable = 503;
                 constexpr int notFound = 404;
                 if (!wire.isReadinessRequest(head))
                     return StatusServer::Answer{notFound, {}};
                 return StatusServer::Answer{isReady() ? ok : unavailable, {}};
-            });
+            },
+            context.shedder);
         if (!readiness)
             return readiness.error();
         readinessServer = std::move(*readiness);
@@ -188,12 +194,14 @@
     {
         if (!settings.metricsAddress)
             return {};
-        auto server = StatusServer::listen(reactor, *settings.metricsAddress,
-                                           [this](const Http1::RequestHead &) {
-                                               constexpr int ok = 200;
-                                               setGauges();
-                                               return StatusServer::Answer{ok, metrics.text()};
-                                           });
+        auto server = StatusServer::listen(
+            reactor, *settings.metricsAddress,
+            [this](const Http1::RequestHead &) {
+                constexpr int ok = 200;
+                setGauges();
+                return StatusServer::Answer{ok, metrics.text()};
+            },
+            context.shedder);
         if (!server)
             return server.error();
         metricsServer = std::move(*server);
@@ -211,6 +219,11 @@
         metrics.set("acacia_evacuated_domains",
                     static_cast<double>(registry.evacuations().domains().size()));
         metrics.set("acacia_cold_servers", registry.coldStarts().coldServers(reactor.now()));
+        metrics.set("acacia_client_memory_bytes",
+                    static_cast<double>(context.shedder->usedBytes()));
+        metrics.set("acacia_client_connections",
+                    static_cast<double>(context.shedder->connectionCount()));
+        metrics.set("acacia_connections_shed", static_cast<double>(context.shedder->shedCount()));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
         for (const auto &[route, count] : requestQueue.admission().scheduler().waitingByRoute())
