--- a/src/libs/gateway/enginecontroller.h
+++ b/src/libs/gateway/enginecontroller.h
@@ -75,6 +75,9 @@
     /// if the model is loaded from a copy.
     auto load(const std::string &model, std::chrono::milliseconds expected, int storeLoads,
               Utils::TimePoint now) -> void;
+    /// The model of an accepted load order, and the rest of its nominal time.
+    auto acceptedLoad(Utils::TimePoint now) const
+        -> std::optional<std::pair<std::string, std::chrono::milliseconds>>;
     /// `isIdle` tells that no request of the model is known to run, so that the unload takes no
     /// time.
     auto unload(const std::string &model, bool isIdle) -> void;
--- a/src/libs/gateway/engineplacement.h
+++ b/src/libs/gateway/engineplacement.h
@@ -4,6 +4,7 @@
 #include "enginecontroller.h"
 #include "swapplanner.h"
 
+#include <admission/forecastsource.h>
 #include <placement/storeloadlimiter.h>
 
 #include <chrono>
@@ -19,7 +20,7 @@
 
 /// Tracks and orders the contents of all model engines on the gateway that holds the lease. It is
 /// discarded when another gateway gets the lease, so that no outdated state is reused.
-class EnginePlacement
+class EnginePlacement : public Admission::ForecastSource
 {
 public:
     using WaitingAtVersion = std::map<Placement::VersionDemand::Key, int>;
@@ -34,13 +35,15 @@
 
     /// `loadWindow` is the window over which loads from the weight store are rate-limited.
     EnginePlacement(GatewayContext &context, std::chrono::milliseconds loadWindow, Events events);
-    ~EnginePlacement();
+    ~EnginePlacement() override;
 
     /// Updates the state of all engines and sends the orders that the demand requires.
     auto run(const std::map<ModelKey, TotalDemand> &demand, const WaitingAtVersion &atVersion)
         -> void;
     /// Gives up the orders under way that have lost their authority.
     auto checkOrdersUnderWay() -> void;
+    auto expectedModels(Utils::TimePoint now) const
+        -> std::vector<Admission::ExpectedModel> override;
     /// Calls `visitor` for each engine with a known state.
     auto visit(const std::function<void(const std::string &id, const EngineReport &state)> &visitor)
         const -> void;
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -5,6 +5,7 @@
 #include "stopschedule.h"
 #include "streambeginnings.h"
 
+#include <admission/modelforecast.h>
 #include <net/reactor.h>
 #include <routing/crashfeature.h>
 #include <routing/retrybudget.h>
@@ -21,6 +22,10 @@
 class Metrics;
 }
 
+namespace Resources {
+class LoadShedder;
+}
+
 namespace Gateway {
 
 class BackendRegistry;
@@ -76,6 +81,9 @@
     /// Called with each stream that begins and may be taken up.
     std::function<void(StreamBeginnings::Beginning)> onStreamBegun = nullptr;
 
+    Admission::ModelForecast forecast = {}; ///< Of the placement lease's holder.
+    std::shared_ptr<Resources::LoadShedder> shedder = nullptr; ///< Of all clients' connections.
+
     /// True if new requests are refused. Timers may be late, so the clock decides.
     auto isStopping() const -> bool { return stop && !stop->acceptsRequests(reactor.now()); }
 
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -13,6 +13,7 @@
 #include "gatewaysettings.h"
 #include "incarnationverifier.h"
 #include "leavingnotifier.h"
+#include "modelstates.h"
 #include "peerlink.h"
 #include "permitexchange.h"
 #include "placementcoordinator.h"
@@ -34,6 +35,7 @@
 #include <monitoring/metrics.h>
 #include <net/periodictimer.h>
 #include <net/reactor.h>
+#include <resources/loadshedder.h>
 #include <utils/boottime.h>
 #include <utils/eventlog.h>
 #include <utils/rendezvous.h>
@@ -76,7 +78,10 @@
                        [this] { return Utils::bootTime() - reactor.now(); }})
         , context{r,      w,           registry, pool,    quota, requestQueue,
                   demand, denialCheck, metrics,  nullptr, {},    nullptr}
-    { }
+    {
+        context.shedder = std::make_shared<Resources::LoadShedder>(
+            Resources::ResourceLimits::create(s.memoryMb, s.maxFds));
+    }
 
     Net::Reactor &reactor;
     GatewaySettings settings;
@@ -158,14 +163,16 @@
             return callers.error();
         callerListener = std::move(*callers);
         auto readiness = StatusServer::listen(
-            reactor, settings.readinessAddress, [this](const Http1::RequestHead &head) {
+            reactor, settings.readinessAddress,
+            [this](const Http1::RequestHead &head) {
                 constexpr int ok = 200;
                 constexpr int unavailable = 503;
                 constexpr int notFound = 404;
                 if (!wire.isReadinessRequest(head))
                     return StatusServer::Answer{notFound, {}};
                 return StatusServer::Answer{isReady() ? ok : unavailable, {}};
-            });
+            },
+            context.shedder);
         if (!readiness)
             return readiness.error();
         readinessServer = std::move(*readiness);
@@ -188,12 +195,14 @@
     {
         if (!settings.metricsAddress)
             return {};
-        auto server = StatusServer::listen(reactor, *settings.metricsAddress,
-                                           [this](const Http1::RequestHead &) {
-                                               constexpr int ok = 200;
-                                               setGauges();
-                                               return StatusServer::Answer{ok, metrics.text()};
-                                           });
+        auto server = StatusServer::listen(
+            reactor, *settings.metricsAddress,
+            [this](const Http1::RequestHead &) {
+                constexpr int ok = 200;
+                setGauges();
+                return StatusServer::Answer{ok, metrics.text()};
+            },
+            context.shedder);
         if (!server)
             return server.error();
         metricsServer = std::move(*server);
@@ -211,12 +220,17 @@
         metrics.set("acacia_evacuated_domains",
                     static_cast<double>(registry.evacuations().domains().size()));
         metrics.set("acacia_cold_servers", registry.coldStarts().coldServers(reactor.now()));
+        metrics.set("acacia_client_memory_bytes",
+                    static_cast<double>(context.shedder->usedBytes()));
+        metrics.set("acacia_client_connections",
+                    static_cast<double>(context.shedder->connectionCount()));
+        metrics.set("acacia_connections_shed", static_cast<double>(context.shedder->shedCount()));
         metrics.set("acacia_loop_delay_seconds", Utils::toSeconds(longestDelay));
         longestDelay = {};
-        for (const auto &[route, count] : requestQueue.scheduler().waitingByRoute())
+        for (const auto &[route, count] : requestQueue.admission().scheduler().waitingByRoute())
             metrics.set("acacia_waiting_requests", count, {{"route", route}});
         const auto now = reactor.now();
-        const auto oldest = requestQueue.scheduler().oldestArrival().value_or(now);
+        const auto oldest = requestQueue.admission().scheduler().oldestArrival().value_or(now);
         metrics.set("acacia_longest_wait_seconds", Utils::toSeconds(now - oldest));
     }
 
@@ -632,6 +646,11 @@
     d->context.makeRetryBudget = [d] {
         return Routing::RetryBudget(d->retryRatio(), d->maxSavedRetries());
     };
+    d->requestQueue.admission().setModelStates(
+        [d](const auto &request) {
+            return modelStateOf(d->registry, d->context.configuration.get(), request);
+        },
+        d->context.forecast);
     d->context.onLeaving = [d](const std::string &backendId, std::int64_t startedAtMs) {
         d->leavingNotifier.noteAnswer(backendId, startedAtMs);
     };
--- a/src/libs/gateway/gatewaysettings.h
+++ b/src/libs/gateway/gatewaysettings.h
@@ -5,6 +5,7 @@
 
 #include <availability/coldstarttolerance.h>
 #include <http1/socketaddress.h>
+#include <resources/resourceconstants.h>
 
 #include <chrono>
 #include <optional>
@@ -40,6 +41,8 @@
     QuotaTolerance quotaTolerance;
     Availability::ColdStartTolerance coldStartTolerance;
     PlacementLimits placement;
+    int memoryMb = Resources::Constants::DefaultMemoryMb; ///< Of the process.
+    int maxFds = Resources::Constants::DefaultMaxFds; ///< Of the process, including files.
 };
 
 /// Reads the settings; errors are collected in the reader.
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -77,11 +77,31 @@
     const bool isTooLarge = m_body.size() > Constants::MaxAnswerBytes
         || m_splitter.partialEventBytes() > Constants::MaxEventBytes;
     if (m_attempt && (!isValid || isTooLarge))
-        handleEnd(AttemptEnd::Broken);
+        return handleEnd(AttemptEnd::Broken);
+    if (m_caller)
+        m_caller->noteHeldAnswer(m_body.size());
+    awaitRoom();
+}
+
+/// Stops reading the answer from the server while the client doesn't take what it has.
+auto RequestFlow::awaitRoom() -> void
+{
+    const auto self = shared_from_this();
+    const bool hasRoom = !m_caller || m_caller->hasRoomForAnswer();
+    if (!m_attempt)
+        return;
+    if (hasRoom)
+        return m_attempt->resumeReading();
+    m_attempt->pauseReading();
+    startSilenceTimer();
+    m_context.reactor.callAfter(Constants::RoomCheckInterval, [weak = weak_from_this()] {
+        if (const auto flow = weak.lock())
+            flow->awaitRoom();
+    });
 }
 
 /// Returns false for bytes that show that the answer is not, or no longer, this request's stream.
-auto RequestFlow::mayRelay(const StreamEvent &event) const -> bool
+auto RequestFlow::mayRelay(const Http1::StreamEvent &event) const -> bool
 {
     if (event.id || event.isComment)
         return true;
@@ -96,7 +116,7 @@
     std::string out;
     int newEvents = 0;
     bool isValid = true;
-    for (const StreamEvent &event : m_splitter.feed(data)) {
+    for (const Http1::StreamEvent &event : m_splitter.feed(data)) {
         isValid = mayRelay(event);
         if (!isValid)
             break;
@@ -175,7 +195,7 @@
 /// The part of the answer that the latency objective is set for has arrived.
 auto RequestFlow::noteAnswerBegun() -> void
 {
-    m_context.requestQueue.scheduler().noteAnswered(m_waiting, m_context.reactor.now() - m_sentAt);
+    m_context.requestQueue.admission().noteAnswered(m_waiting, m_context.reactor.now() - m_sentAt);
 }
 
 auto RequestFlow::hasOutlivedBeginning() const -> bool
--- a/src/libs/utils/eventlog.h
+++ b/src/libs/utils/eventlog.h
@@ -49,6 +49,7 @@
     RequestSentUnderLimit = 304,
     PermitRefused = 305,
     RequestSentToColdServer = 306,
+    RequestRefusedEarly = 307,
     StreamOriginFound = 310,
     StreamOriginUnknown = 311,
     LoadOrdered = 400,
