--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -48,8 +48,12 @@
 constexpr int SpareCopies = 1;
 /// Loads from the weight store that prefetches leave free for models with waiting requests.
 constexpr int ReservedUrgentLoads = 1;
-/// Requests that have waited longer than this no longer wait for a copy at a busy engine.
+/// Requests that have waited longer than this no longer wait for a copy at a busy engine; neither
+/// does a model whose requests are refused sooner, as that engine may stay busy.
 constexpr double MaxWaitForBusyEngineMs = 2000;
+/// Limit on engines that unload others for one model at a time; its demand is an average over
+/// seconds and may be over already.
+constexpr int MaxUnloadsForAModel = 4;
 
 } // namespace
 
@@ -173,8 +177,11 @@
             const double excess = demand.perSecond - RatePerEngine * held;
             if (demand.waiting >= WaitingForAnotherEngine * held)
                 proposal.benefit = WaitingWeight * demand.waiting / 2;
-            if (excess > MinExcessRate)
+            if (excess > MinExcessRate) {
                 proposal.benefit = std::max(proposal.benefit, ExcessRateWeight * excess);
+                proposal.engines =
+                    std::clamp(static_cast<int>(excess / RatePerEngine), 1, MaxUnloadsForAModel);
+            }
         }
         if (proposal.benefit <= 0)
             continue;
@@ -253,11 +260,22 @@
     });
 }
 
+/// The same for a limited time from the first round in which the model waited for a copy.
+auto SwapPlanner::waitsForBusyEngine(const Input &input, const Snapshot &snapshot,
+                                     const LoadProposal &proposal) -> bool
+{
+    if (!hasCopyAtBusyEngine(input, snapshot, proposal))
+        return false;
+    const auto since = m_copyWaits.try_emplace(proposal.model->name, input.now).first->second;
+    return Utils::toSeconds(input.now - since) * 1000 <= MaxWaitForBusyEngineMs;
+}
+
 auto SwapPlanner::addOrder(const Input &input, const LoadProposal &proposal,
                            const Candidate &candidate, Round &round) -> void
 {
     const std::string &engine = candidate.engine->id;
     round.orderedEngines.insert(engine);
+    m_copyWaits.erase(proposal.model->name);
     if (!candidate.victims.empty()) {
         m_intents[engine] = {proposal.model->name, input.now + IntentLifetime};
         const std::string &victim = candidate.victims.front();
@@ -278,7 +296,8 @@
 auto SwapPlanner::loadFromCopy(const Input &input, const Snapshot &snapshot,
                                const LoadProposal &proposal, Round &round) -> bool
 {
-    if (round.modelsAwaitingUnload.count(proposal.model->name) > 0)
+    const auto unloads = round.unloadsFor.find(proposal.model->name);
+    if (unloads != round.unloadsFor.end() && unloads->second >= proposal.engines)
         return true;
     std::optional<Candidate> best;
     for (const PlannedEngine &engine : input.engines) {
@@ -298,7 +317,7 @@
         addOrder(input, proposal, *best, round);
         return true;
     }
-    const bool waitsForCopy = hasCopyAtBusyEngine(input, snapshot, proposal);
+    const bool waitsForCopy = waitsForBusyEngine(input, snapshot, proposal);
     if (waitsForCopy && proposal.isUrgent)
         ++round.copiesAtBusyEngines;
     return waitsForCopy;
@@ -358,12 +377,16 @@
     Round round;
     round.storeLoads = input.storeLoadsAllowed;
     std::erase_if(m_intents, [&](const auto &item) { return item.second.until <= input.now; });
+    std::erase_if(m_copyWaits, [&](const auto &item) {
+        const auto demand = input.demand.find(item.first);
+        return demand == input.demand.end() || demand->second.perSecond < MinExcessRate;
+    });
     int running = 0;
     std::map<std::string, std::string> prefetchLoads;
     for (const PlannedEngine &engine : input.engines) {
         const auto intent = m_intents.find(engine.id);
         if (intent != m_intents.end() && engine.isBusy)
-            round.modelsAwaitingUnload.insert(intent->second.model);
+            ++round.unloadsFor[intent->second.model];
         running += isLoadingFromStore(engine);
         const auto prefetched = m_prefetchLoads.find(engine.id);
         if (prefetched != m_prefetchLoads.end() && prefetched->second == engine.loadingModel)
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -91,6 +91,7 @@
         std::string reason;
         bool isUrgent = false; ///< Requests are waiting and no engine holds the model.
         double longestWaitMs = 0;
+        int engines = 1; ///< On how many engines the model is needed in addition.
         std::string softwareVersion; ///< Only engines of this version; any if empty.
 
         auto isPrefetch() const -> bool { return reason == PrefetchReason; }
@@ -106,7 +107,7 @@
     {
         std::vector<PlannedOrder> orders;
         std::set<std::string> orderedEngines; ///< Engines that got an order.
-        std::set<std::string> modelsAwaitingUnload; ///< An engine unloads others for these.
+        std::map<std::string, int> unloadsFor; ///< Engines that unload others, by the new model.
         std::set<std::string> modelsFromStore; ///< Ordered from the weight store in this round.
         int storeLoads = 0; ///< Loads from the store that may still start.
         int prefetchLoads = 0; ///< Number of those that may be prefetches.
@@ -136,6 +137,8 @@
         -> std::vector<LoadProposal>;
     auto hasCopyAtBusyEngine(const Input &input, const Snapshot &snapshot,
                              const LoadProposal &proposal) const -> bool;
+    auto waitsForBusyEngine(const Input &input, const Snapshot &snapshot,
+                            const LoadProposal &proposal) -> bool;
     auto beginRound(const Input &input) -> Round;
     auto loadFromCopy(const Input &input, const Snapshot &snapshot, const LoadProposal &proposal,
                       Round &round) -> bool;
@@ -154,6 +157,8 @@
     };
 
     std::map<std::string, Intent> m_intents; ///< By engine.
+    /// Since when models have waited for a copy at a busy engine without an order.
+    std::map<std::string, Utils::TimePoint> m_copyWaits;
     std::map<std::string, std::string> m_prefetchLoads; ///< Model by the engine that loads it.
 };
 
--- a/tests/auto/gateway/tst_swapplanner.cpp
+++ b/tests/auto/gateway/tst_swapplanner.cpp
@@ -411,3 +411,43 @@
     const auto orders = planner.plan(input);
     EXPECT_TRUE(find(orders, Kind::Load, "m0"));
 }
+
+// Load: a crowded model, the only other copy of which is at an engine that stays busy, and requests
+// that are refused before they have waited long. Guards against waiting for that engine forever.
+TEST_F(SwapPlannerTest, CrowdedModelDoesNotWaitForeverForABusyEngine)
+{
+    addEngine("e1", {"m0"}).copiesOnDisk = {"m0"};
+    auto &busy = addEngine("e2", {"m1"});
+    busy.copiesOnDisk = {"m0"};
+    busy.isBusy = true;
+    addEngine("e3", {"m2"});
+    input.demand["m0"] = {40, 32, 30, 900};
+    EXPECT_FALSE(find(planner.plan(input), Kind::Load, "m0"));
+    input.now += 2500ms;
+    const auto orders = planner.plan(input);
+    const auto *load = find(orders, Kind::Load, "m0");
+    ASSERT_TRUE(load);
+    EXPECT_EQ(load->engine, "e3");
+}
+
+// Load: demand for one model of many times what its engine serves. Guards against adding engines
+// one by one, while each waits for the running requests of the model that it unloads.
+TEST_F(SwapPlannerTest, SeveralEnginesUnloadForAModelInGreatDemand)
+{
+    for (int i = 1; i <= 4; ++i) {
+        auto &engine = addEngine("e" + std::to_string(i), {"m" + std::to_string(i), "m5", "m6"});
+        engine.copiesOnDisk = {"m0"};
+    }
+    addEngine("e0", {"m0"});
+    input.demand["m0"] = {40, 32, 30, 900};
+    std::set<std::string> unloading;
+    for (int round = 0; round < 4; ++round) {
+        for (const auto &order : planner.plan(input)) {
+            if (order.kind == Kind::Unload)
+                unloading.insert(order.engine);
+        }
+        for (auto &engine : input.engines)
+            engine.isBusy = unloading.count(engine.id) > 0;
+    }
+    EXPECT_EQ(unloading.size(), 4U);
+}
