--- a/src/libs/gateway/stalenessdetector.cpp
+++ b/src/libs/availability/stalenessdetector.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Gateway {
+namespace Availability {
 
 using Utils::Duration;
 using Utils::StoreVersion;
@@ -66,4 +66,4 @@
     return true;
 }
 
-} // namespace Gateway
+} // namespace Availability
--- a/src/libs/gateway/stalenessdetector.h
+++ b/src/libs/availability/stalenessdetector.h
@@ -5,7 +5,7 @@
 
 #include <optional>
 
-namespace Gateway {
+namespace Availability {
 
 /// Detects that other gateways know a newer row of a table than this process. Its poll of the store
 /// may then have been lost, with no part of an answer arriving. Needs no network.
@@ -40,4 +40,4 @@
     Utils::TimePoint m_progressAt;
 };
 
-} // namespace Gateway
+} // namespace Availability
--- a/src/libs/gateway/stopschedule.cpp
+++ b/src/libs/availability/stopschedule.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Gateway {
+namespace Availability {
 
 using std::chrono::milliseconds;
 
@@ -33,4 +33,4 @@
     return schedule;
 }
 
-} // namespace Gateway
+} // namespace Availability
--- a/src/libs/gateway/stopschedule.h
+++ b/src/libs/availability/stopschedule.h
@@ -4,7 +4,7 @@
 
 #include <chrono>
 
-namespace Gateway {
+namespace Availability {
 
 /// What a gateway still does at which time after it was asked to stop.
 class StopSchedule
@@ -29,4 +29,4 @@
     Utils::TimePoint m_end;
 };
 
-} // namespace Gateway
+} // namespace Availability
--- a/src/libs/gateway/gatewaycontext.h
+++ b/src/libs/gateway/gatewaycontext.h
@@ -2,8 +2,8 @@
 
 #include "configuration.h"
 #include "ratelimittable.h"
-#include "stopschedule.h"
 #include "streambeginnings.h"
+#include <availability/stopschedule.h>
 
 #include <admission/modelforecast.h>
 #include <net/reactor.h>
@@ -73,7 +73,8 @@
     std::function<void()> onQuotaShortage =
         nullptr; ///< Called when a request finds too little quota.
     std::function<void()> onModelNeeded = nullptr; ///< Called when a request waits for a model.
-    std::optional<StopSchedule> stop = {}; ///< Set once the process has been asked to stop.
+    std::optional<Availability::StopSchedule> stop =
+        {}; ///< Set once the process has been asked to stop.
     RateLimitTable rateLimits = {}; ///< Named by backend servers.
     PermitExchange *permits = nullptr; ///< Set before the first request arrives.
     SuspectExchange *suspects = nullptr; ///< Set before the first request arrives.
--- a/src/libs/gateway/gatewayserver.cpp
+++ b/src/libs/gateway/gatewayserver.cpp
@@ -22,12 +22,12 @@
 #include "requestflow.h"
 #include "requestqueue.h"
 #include "rowstore.h"
-#include "stalenessdetector.h"
 #include "statusserver.h"
 #include "storedstreamorigins.h"
 #include "suspectexchange.h"
 #include "tablefollower.h"
 #include "wireformat.h"
+#include <availability/stalenessdetector.h>
 
 #include <http1/serverconnection.h>
 #include <http1/tcplistener.h>
@@ -128,9 +128,9 @@
     std::unique_ptr<Net::PeriodicTimer> logTimer;
     std::unique_ptr<Net::PeriodicTimer> knownGatewaysTimer;
     std::unique_ptr<Net::PeriodicTimer> stopTimer;
-    StalenessDetector configurationStaleness{Constants::ConfigurationLagTimeout};
-    StalenessDetector serverListStaleness{serverListPollInterval()
-                                          + Constants::ServerListLagMargin};
+    Availability::StalenessDetector configurationStaleness{Constants::ConfigurationLagTimeout};
+    Availability::StalenessDetector serverListStaleness{serverListPollInterval()
+                                                        + Constants::ServerListLagMargin};
     bool draining = false;
     Utils::TimePoint stopRequestedAt; ///< Set while `draining`.
     std::optional<Utils::TimePoint> lastTickAt;
@@ -439,7 +439,7 @@
 
     /// Sends an additional query to the store, as the pending ones may have been lost.
     auto requeryStore(const char *reason, const char *what, TableFollower &follower,
-                      const StalenessDetector &detector) -> void
+                      const Availability::StalenessDetector &detector) -> void
     {
         Utils::logEvent(
             Utils::Event::StoreAskedAnew,
@@ -599,7 +599,7 @@
         }
         // The request may have come at any time since the event loop was last seen to run.
         stopRequestedAt = lastTickAt.value_or(reactor.now());
-        context.stop = StopSchedule::create(stopRequestedAt, settings.stopTime);
+        context.stop = Availability::StopSchedule::create(stopRequestedAt, settings.stopTime);
         stopTimer = std::make_unique<Net::PeriodicTimer>(reactor, StopCheckInterval,
                                                          [this, done] { checkStop(done); });
     }
@@ -702,7 +702,7 @@
 {
     d->settings.stopTime = settings.stopTime;
     if (d->draining)
-        d->context.stop = StopSchedule::create(d->stopRequestedAt, settings.stopTime);
+        d->context.stop = Availability::StopSchedule::create(d->stopRequestedAt, settings.stopTime);
     d->settings.retryRatio = settings.retryRatio;
     d->settings.retrySlack = settings.retrySlack;
     d->limitRetries();
--- a/src/libs/gateway/permitexchange.cpp
+++ b/src/libs/gateway/permitexchange.cpp
@@ -370,7 +370,7 @@
     if (Utils::fieldOr(message, "firm", false))
         return handlePermit(found->first, delay);
     ticket.state = TicketState::Reserved;
-    wakeTicket(found->first, delay - PermitSchedule::FirmHorizon / 2,
+    wakeTicket(found->first, delay - Routing::PermitSchedule::FirmHorizon / 2,
                [this, id = found->first] { ask(id); });
 }
 
@@ -416,7 +416,7 @@
 // Permits that this gateway issues
 
 auto PermitExchange::scheduleFor(const std::string &server, const RateLimit &limit)
-    -> PermitSchedule *
+    -> Routing::PermitSchedule *
 {
     const auto &issuers = m_roster.issuers(server);
     const bool isFirst = issuers.first == m_own;
@@ -432,13 +432,14 @@
     // Another gateway may have been the issuer until the roster changed; its firm permits are used
     // by then.
     const TimePoint start =
-        m_roster.changedAt() + PermitSchedule::FirmHorizon + Constants::PermitLifetime;
+        m_roster.changedAt() + Routing::PermitSchedule::FirmHorizon + Constants::PermitLifetime;
     const int burst = isFirst ? Constants::PermitBurst : Constants::SecondIssuerBurst;
-    auto &schedule = m_schedules
-                         .insert_or_assign(server,
-                                           Schedule{limit.startedAtMs, isFirst,
-                                                    PermitSchedule(perSecond, burst, start)})
-                         .first->second;
+    auto &schedule =
+        m_schedules
+            .insert_or_assign(server,
+                              Schedule{limit.startedAtMs, isFirst,
+                                       Routing::PermitSchedule(perSecond, burst, start)})
+            .first->second;
     return &schedule.permits;
 }
 
@@ -448,7 +449,8 @@
     const auto server = Utils::fieldOr(message, "server", std::string());
     const auto startedAtMs = Utils::fieldOr(message, "started", std::int64_t(0));
     const RateLimit *limit = m_limits.find(server, startedAtMs);
-    PermitSchedule *permits = limit && isRosterKnown() ? scheduleFor(server, *limit) : nullptr;
+    Routing::PermitSchedule *permits =
+        limit && isRosterKnown() ? scheduleFor(server, *limit) : nullptr;
     if (!permits)
         return;
     const auto id = Utils::fieldOr(message, "id", TicketId(0));
--- a/src/libs/gateway/permitexchange.h
+++ b/src/libs/gateway/permitexchange.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "permitroster.h"
-#include "permitschedule.h"
 #include "ratelimittable.h"
 #include "sendallowance.h"
+#include <routing/permitschedule.h>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -102,7 +102,7 @@
     {
         std::int64_t startedAtMs = 0;
         bool isFirst = false; ///< This gateway is the first issuer, not the second.
-        PermitSchedule permits;
+        Routing::PermitSchedule permits;
     };
 
     auto now() const -> Utils::TimePoint { return m_transport.clock(); }
@@ -128,7 +128,8 @@
         -> std::map<TicketId, Ticket>::const_iterator;
 
     auto handleAsk(const nlohmann::json &message, const Http1::SocketAddress &sender) -> void;
-    auto scheduleFor(const std::string &server, const RateLimit &limit) -> PermitSchedule *;
+    auto scheduleFor(const std::string &server, const RateLimit &limit)
+        -> Routing::PermitSchedule *;
     auto deliver(const Http1::SocketAddress &to, const nlohmann::json &message) -> void;
 
     Net::Scheduler &m_scheduler;
--- a/src/libs/gateway/storedstreamorigins.cpp
+++ b/src/libs/gateway/storedstreamorigins.cpp
@@ -186,7 +186,7 @@
         if (found == listed.end())
             continue;
         for (const std::string &named : found->second) {
-            const std::string version = VersionSet::normalized(named);
+            const std::string version = Placement::VersionSet::normalized(named);
             noteListed(service, version);
             const auto known = before.find(version);
             service.listed[version] = known != before.end() ? known->second : ++m_step;
@@ -270,7 +270,7 @@
     if (found == m_services.end() || !m_era || !hasContact())
         return false;
     // A row that the store has lost in a copy is written again, and proves nothing until then.
-    return found->second.acknowledged.count(VersionSet::normalized(version)) > 0;
+    return found->second.acknowledged.count(Placement::VersionSet::normalized(version)) > 0;
 }
 
 auto StoredStreamOrigins::noteBegun(const std::string &attempt, const std::string &serviceName,
@@ -278,7 +278,8 @@
 {
     Service &noted = service(serviceName);
     const OriginLog::Key key = OriginLog::makeKey(serviceName, attempt);
-    if (!noted.streams.note(key, VersionSet::normalized(version), now()) || !isRecording(noted))
+    if (!noted.streams.note(key, Placement::VersionSet::normalized(version), now())
+        || !isRecording(noted))
         return;
     m_journal.add({key, *noted.streams.find(key)}, now());
     scheduleFlush();
@@ -344,7 +345,7 @@
         return false;
     if (!service.isRead)
         return !service.listed.empty();
-    const VersionSet wanted = wantedSet(service);
+    const Placement::VersionSet wanted = wantedSet(service);
     if (!wanted.names().empty() && (!service.row || *service.row != wanted))
         return true;
     return std::any_of(service.listed.begin(), service.listed.end(), [&](const auto &item) {
@@ -505,7 +506,8 @@
         return handleUnusableRow(known, {*m_era, 0});
     }
     known.hasExisted = true;
-    const auto set = row->fault ? tl::unexpected(*row->fault) : VersionSet::parse(row->value);
+    const auto set =
+        row->fault ? tl::unexpected(*row->fault) : Placement::VersionSet::parse(row->value);
     if (set)
         return setRow(name, *set, row->version, read.step, "read");
     if (std::exchange(known.loggedFault, set.error()) != set.error())
@@ -529,7 +531,7 @@
         startRecordingStreams(service);
 }
 
-auto StoredStreamOrigins::setRow(const std::string &name, const VersionSet &set,
+auto StoredStreamOrigins::setRow(const std::string &name, const Placement::VersionSet &set,
                                  const StoreVersion &version, std::uint64_t step,
                                  const char *reason) -> void
 {
@@ -601,9 +603,9 @@
 }
 
 /// The set that the service's row should hold, from what is known here.
-auto StoredStreamOrigins::wantedSet(const Service &service) const -> VersionSet
+auto StoredStreamOrigins::wantedSet(const Service &service) const -> Placement::VersionSet
 {
-    VersionSet wanted = service.row.value_or(VersionSet());
+    Placement::VersionSet wanted = service.row.value_or(Placement::VersionSet());
     const auto known = wanted.names();
     for (const std::string &version : known) {
         if (!isOutOfUse(service, version))
@@ -632,7 +634,7 @@
     Service &written = service(name);
     if (written.isWriting || !written.isRead)
         return;
-    const VersionSet wanted = wantedSet(written);
+    const Placement::VersionSet wanted = wantedSet(written);
     if (wanted.names().empty() || (written.row && *written.row == wanted))
         return;
     written.isWriting = true;
@@ -745,7 +747,7 @@
             row.fault ? tl::unexpected(*row.fault) : OriginJournal::parseRow(row.value);
         if (records) {
             for (const auto &record : *records)
-                m_records.note(record.key, VersionSet::normalized(record.version), at);
+                m_records.note(record.key, Placement::VersionSet::normalized(record.version), at);
             continue;
         }
         if (m_unreadableRecords.size() < MaxLoggedFaults
--- a/src/libs/gateway/storedstreamorigins.h
+++ b/src/libs/gateway/storedstreamorigins.h
@@ -3,7 +3,7 @@
 #include "originjournal.h"
 #include "originlog.h"
 #include "streamorigins.h"
-#include "versionset.h"
+#include <placement/versionset.h>
 
 #include <net/scheduler.h>
 #include <utils/storeversion.h>
@@ -91,7 +91,7 @@
         Service();
 
         bool isRead = false; ///< In the present era.
-        std::optional<VersionSet> row; ///< Unset while it is missing or can't be read.
+        std::optional<Placement::VersionSet> row; ///< Unset while it is missing or can't be read.
         Utils::StoreVersion rowVersion;
         std::uint64_t writtenAt = 0; ///< Number of the step at which the row was last written.
         bool isWriting = false;
@@ -158,11 +158,11 @@
     auto handleRow(const std::string &name, const Row *row, const Read &read) -> void;
     auto handleUnusableRow(Service &service, const Utils::StoreVersion &version) -> void;
     auto resolveByVersions(const Read &read) -> void;
-    auto wantedSet(const Service &service) const -> VersionSet;
+    auto wantedSet(const Service &service) const -> Placement::VersionSet;
     auto writeIfChanged(const std::string &name) -> void;
     /// The row was read or written in a call that began at `step`.
-    auto setRow(const std::string &name, const VersionSet &set, const Utils::StoreVersion &version,
-                std::uint64_t step, const char *reason) -> void;
+    auto setRow(const std::string &name, const Placement::VersionSet &set,
+                const Utils::StoreVersion &version, std::uint64_t step, const char *reason) -> void;
 
     auto readRecords() -> void;
     auto startReadingRecords() -> void;
--- a/src/libs/gateway/versionset.cpp
+++ b/src/libs/placement/versionset.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace Gateway {
+namespace Placement {
 
 using nlohmann::json;
 using Utils::StoreEra;
@@ -134,4 +134,4 @@
     return *m_names.begin();
 }
 
-} // namespace Gateway
+} // namespace Placement
--- a/src/libs/gateway/versionset.h
+++ b/src/libs/placement/versionset.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace Gateway {
+namespace Placement {
 
 /// The software versions of a service's servers at which a stream that is still alive can have
 /// begun, as a row of the platform's store holds them. The empty version stands for servers that
@@ -48,4 +48,4 @@
     std::optional<Utils::StoreEra> m_confirmedIn;
 };
 
-} // namespace Gateway
+} // namespace Placement
--- a/src/libs/gateway/permitschedule.cpp
+++ b/src/libs/routing/permitschedule.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Gateway {
+namespace Routing {
 
 using Utils::Duration;
 using Utils::TimePoint;
@@ -81,4 +81,4 @@
     m_reservations.erase(found);
 }
 
-} // namespace Gateway
+} // namespace Routing
--- a/src/libs/gateway/permitschedule.h
+++ b/src/libs/routing/permitschedule.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-namespace Gateway {
+namespace Routing {
 
 /// Schedules the requests to one backend server with a limit, first come, first served. A
 /// reservation far ahead can be withdrawn; one that is close becomes a firm permit and is never
@@ -58,4 +58,4 @@
     std::set<Utils::TimePoint> m_freed; ///< Times of released reservations.
 };
 
-} // namespace Gateway
+} // namespace Routing
--- a/tests/auto/gateway/tst_freshnesswatch.cpp
+++ b/tests/auto/gateway/tst_freshnesswatch.cpp
@@ -1,6 +1,6 @@
 // Tests the detection of lost polls of the store by the versions that other gateways know.
 
-#include <gateway/stalenessdetector.h>
+#include <availability/stalenessdetector.h>
 
 #include <gtest/gtest.h>
 
@@ -20,7 +20,7 @@
 
 TEST(StalenessDetector, RepeatsWhenPeersStayAhead)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     EXPECT_FALSE(detector.isRepeatDue(row(5), start));
     detector.notePeerVersion(row(7), start);
     EXPECT_FALSE(detector.isRepeatDue(row(5), start + 200ms));
@@ -31,7 +31,7 @@
 
 TEST(StalenessDetector, AnswersInTimeNeedNoRepeat)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     detector.notePeerVersion(row(7), start);
     EXPECT_FALSE(detector.isRepeatDue(row(7), start + 100ms));
     detector.notePeerVersion(row(9), start + 1s);
@@ -41,7 +41,7 @@
 
 TEST(StalenessDetector, PeersThatAreBehindAreIgnored)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     detector.notePeerVersion(row(3), start);
     EXPECT_FALSE(detector.isRepeatDue(row(5), start + 1s));
 }
@@ -49,7 +49,7 @@
 // On a slow link, each repeat delays the answers further.
 TEST(StalenessDetector, RepeatsBackOffUntilANewerVersionIsKnown)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     detector.notePeerVersion(row(7), start);
     int repeats = 0;
     for (auto passed = 0ms; passed <= 6s; passed += 25ms)
@@ -63,7 +63,7 @@
 // A large answer arrives continuously on a slow link until the connection is lost.
 TEST(StalenessDetector, RepeatsWaitWhilePartsOfAnAnswerArrive)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     detector.notePeerVersion(row(7), start);
     auto passed = 0ms;
     for (; passed < 2s; passed += 25ms) {
@@ -77,7 +77,7 @@
 // Parts of an answer keep arriving, but it never ends.
 TEST(StalenessDetector, SlowAnswerIsNotWaitedForIndefinitely)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     detector.notePeerVersion(row(7), start);
     int repeats = 0;
     for (auto passed = 0ms; passed <= 5s; passed += 25ms) {
@@ -89,7 +89,7 @@
 
 TEST(StalenessDetector, TimeoutFollowsTheUsualAnswerTime)
 {
-    StalenessDetector detector(300ms);
+    Availability::StalenessDetector detector(300ms);
     detector.noteAnswerTime(500ms);
     detector.notePeerVersion(row(7), start);
     EXPECT_FALSE(detector.isRepeatDue(row(5), start));
--- a/tests/auto/gateway/tst_permitschedule.cpp
+++ b/tests/auto/gateway/tst_permitschedule.cpp
@@ -1,6 +1,6 @@
 // Tests the schedule of permits for one server with a limit.
 
-#include <gateway/permitschedule.h>
+#include <routing/permitschedule.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -20,7 +20,7 @@
 
 TEST(PermitSchedule, SpacesPermitsAfterTheBurst)
 {
-    PermitSchedule permits(2, 2, start - 1h);
+    Routing::PermitSchedule permits(2, 2, start - 1h);
     EXPECT_EQ(permits.reserve("a", 10s, start).delay, 0s);
     EXPECT_EQ(permits.reserve("b", 10s, start).delay, 0s);
     EXPECT_EQ(permits.reserve("c", 10s, start).delay, 500ms);
@@ -32,7 +32,7 @@
 
 TEST(PermitSchedule, RefusesWhatWouldComeTooLateAndSaysWhenThereIsRoom)
 {
-    PermitSchedule permits(1, 1, start - 1h);
+    Routing::PermitSchedule permits(1, 1, start - 1h);
     permits.reserve("a", 10s, start);
     const auto refused = permits.reserve("b", 500ms, start);
     EXPECT_FALSE(refused.isReserved);
@@ -42,14 +42,14 @@
 
 TEST(PermitSchedule, IssuesNothingBeforeItsStart)
 {
-    PermitSchedule permits(10, 2, start + 1s);
+    Routing::PermitSchedule permits(10, 2, start + 1s);
     EXPECT_EQ(permits.reserve("a", 10s, start).delay, 1s);
     EXPECT_EQ(permits.reserve("b", 10s, start).delay, 1100ms);
 }
 
 TEST(PermitSchedule, ReusesTheTimeOfAReleasedReservation)
 {
-    PermitSchedule permits(1, 1, start - 1h);
+    Routing::PermitSchedule permits(1, 1, start - 1h);
     for (const char *name : {"a", "b", "c"})
         permits.reserve(name, 10s, start);
     permits.release("b", start);
@@ -60,7 +60,7 @@
 
 TEST(PermitSchedule, LowerRateKeepsOnlyFirmReservations)
 {
-    PermitSchedule permits(2, 1, start - 1h);
+    Routing::PermitSchedule permits(2, 1, start - 1h);
     for (const char *name : {"a", "b", "c", "d", "e", "f"})
         permits.reserve(name, 10s, start);
     permits.setRate(0.5, start);
@@ -73,7 +73,7 @@
 {
     const auto perSecond = *rc::gen::inRange(1, 200) / 10.0;
     const auto burst = *rc::gen::inRange(1, 3);
-    PermitSchedule permits(perSecond, burst, start - 1h);
+    Routing::PermitSchedule permits(perSecond, burst, start - 1h);
     TimePoint now = start;
     std::vector<TimePoint> times;
     for (int i = 0; i < 200; ++i) {
--- a/tests/auto/gateway/tst_stopschedule.cpp
+++ b/tests/auto/gateway/tst_stopschedule.cpp
@@ -1,6 +1,6 @@
 // What a stopping gateway still does, for stop times of all lengths.
 
-#include <gateway/stopschedule.h>
+#include <availability/stopschedule.h>
 
 #include <gtest/gtest.h>
 
@@ -25,7 +25,7 @@
 
 TEST(StopSchedule, UsualStopTimeIsUsedAsThePlatformAllows)
 {
-    const auto schedule = StopSchedule::create(requestedAt, 8s);
+    const auto schedule = Availability::StopSchedule::create(requestedAt, 8s);
     EXPECT_EQ(firstTime([&](auto now) { return !schedule.acceptsRequests(now); }), 2900ms);
     EXPECT_EQ(firstTime([&](auto now) { return !schedule.acceptsConnections(now); }), 3200ms);
     EXPECT_EQ(firstTime([&](auto now) { return schedule.isOver(now); }), 7300ms);
@@ -36,7 +36,7 @@
 TEST(StopSchedule, StopTimesOfAllLengthsLeaveTimeForAnswers)
 {
     for (auto stopTime = 500ms; stopTime <= 60s; stopTime += 100ms) {
-        const auto schedule = StopSchedule::create(requestedAt, stopTime);
+        const auto schedule = Availability::StopSchedule::create(requestedAt, stopTime);
         const auto admission = firstTime([&](auto now) { return !schedule.acceptsRequests(now); });
         const auto listening =
             firstTime([&](auto now) { return !schedule.acceptsConnections(now); });
--- a/tests/auto/gateway/tst_streamorigins.cpp
+++ b/tests/auto/gateway/tst_streamorigins.cpp
@@ -7,7 +7,7 @@
 #include <gateway/originjournal.h>
 #include <gateway/originlog.h>
 #include <gateway/storedstreamorigins.h>
-#include <gateway/versionset.h>
+#include <placement/versionset.h>
 
 #include <gtest/gtest.h>
 
@@ -173,12 +173,12 @@
     auto row() const -> std::string { return store.value(versionsTable, service); }
     auto rowNames() const -> std::set<std::string>
     {
-        const auto set = VersionSet::parse(row());
+        const auto set = Placement::VersionSet::parse(row());
         return set ? set->names() : std::set<std::string>();
     }
     auto isConfirmed() const -> bool
     {
-        const auto set = VersionSet::parse(row());
+        const auto set = Placement::VersionSet::parse(row());
         return set && set->isConfirmed(store.era);
     }
 
@@ -249,12 +249,12 @@
 
 TEST(VersionSets, ReadBackWhatTheyWrote)
 {
-    VersionSet set;
+    Placement::VersionSet set;
     EXPECT_TRUE(set.add("v1"));
     EXPECT_TRUE(set.add("v2"));
     set.retire("v1");
     set.confirm(StoreEra(3));
-    const auto read = VersionSet::parse(set.toText());
+    const auto read = Placement::VersionSet::parse(set.toText());
     ASSERT_TRUE(read);
     EXPECT_EQ(*read, set);
     EXPECT_TRUE(read->isRetiring("v1"));
@@ -266,13 +266,15 @@
 
 TEST(VersionSets, ServersThatNameNoVersionAreOfNone)
 {
-    VersionSet set;
+    Placement::VersionSet set;
     set.add({});
     set.confirm(StoreEra(0));
     EXPECT_EQ(set.onlyVersion(StoreEra(0)), std::nullopt);
-    EXPECT_EQ(VersionSet::normalized(std::string(VersionSet::MaxVersionLength + 1, 'x')), "");
-    EXPECT_EQ(VersionSet::normalized("\xff\xfe"), "");
-    EXPECT_EQ(VersionSet::normalized("2.4-ä"), "2.4-ä");
+    EXPECT_EQ(Placement::VersionSet::normalized(
+                  std::string(Placement::VersionSet::MaxVersionLength + 1, 'x')),
+              "");
+    EXPECT_EQ(Placement::VersionSet::normalized("\xff\xfe"), "");
+    EXPECT_EQ(Placement::VersionSet::normalized("2.4-ä"), "2.4-ä");
 }
 
 TEST(VersionSets, RejectWhatIsNoSet)
@@ -281,9 +283,9 @@
          {"", "[]", "{}", "{\"versions\":1}", "{\"versions\":[1]}", "\xff",
           "{\"versions\":[],\"confirmed\":\"1\"}", "{\"versions\":[],\"confirmed\":-1}",
           "{\"versions\":[],\"retiring\":[\"v1\"]}", "{\"versions\":[\"v1\"],\"retiring\":7}"})
-        EXPECT_FALSE(VersionSet::parse(text)) << text;
-    VersionSet set;
-    for (size_t i = 0; i < VersionSet::MaxVersions; ++i)
+        EXPECT_FALSE(Placement::VersionSet::parse(text)) << text;
+    Placement::VersionSet set;
+    for (size_t i = 0; i < Placement::VersionSet::MaxVersions; ++i)
         EXPECT_TRUE(set.add("v" + std::to_string(i)));
     EXPECT_FALSE(set.add("another"));
     EXPECT_TRUE(set.add("v0"));
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -3,10 +3,10 @@
 #include "../shared/slowrowstore.h"
 #include "../shared/virtualscheduler.h"
 
+#include <availability/stalenessdetector.h>
 #include <gateway/denialcheck.h>
 #include <gateway/gatewayconstants.h>
 #include <gateway/gatewaysettings.h>
-#include <gateway/stalenessdetector.h>
 #include <gateway/tablefollower.h>
 
 #include <gtest/gtest.h>
@@ -116,7 +116,7 @@
     }
 
     TableFollower m_follower;
-    StalenessDetector m_stalenessDetector;
+    Availability::StalenessDetector m_stalenessDetector;
 };
 
 } // namespace
