--- a/src/libs/routing/routingconstants.h
+++ b/src/libs/routing/routingconstants.h
@@ -70,8 +70,8 @@
 constexpr int SpeedSmoothingResponses = 64;
 constexpr int MinSpeedResponses = 20;
 /// Servers whose times differ by less than this factor count as equally fast. The difference must
-/// also exceed this many standard errors: with a fixed factor alone, one of 12 equal servers counted
-/// as slower after about 22 responses each.
+/// also exceed this many standard errors: with a fixed factor alone, one of 12 equal servers
+/// counted as slower after about 22 responses each.
 constexpr double MinSpeedDifference = 1.25;
 constexpr double SpeedSignificance = 4;
 /// Variance of the logarithm of a response's time that is assumed at first, and the number of
--- a/tests/auto/gateway/tst_freshnesswatch.cpp
+++ b/tests/auto/gateway/tst_freshnesswatch.cpp
@@ -4,7 +4,7 @@
 
 #include <gtest/gtest.h>
 
-using Gateway::StalenessDetector;
+using Availability::StalenessDetector;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/auto/gateway/tst_permitschedule.cpp
+++ b/tests/auto/gateway/tst_permitschedule.cpp
@@ -7,7 +7,7 @@
 
 #include <vector>
 
-using namespace Gateway;
+using namespace Routing;
 using namespace std::chrono_literals;
 using Utils::Duration;
 using Utils::TimePoint;
--- a/tests/auto/gateway/tst_stopschedule.cpp
+++ b/tests/auto/gateway/tst_stopschedule.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 using namespace std::chrono_literals;
-using Gateway::StopSchedule;
+using Availability::StopSchedule;
 
 namespace {
 
--- a/tests/auto/gateway/tst_streamorigins.cpp
+++ b/tests/auto/gateway/tst_streamorigins.cpp
@@ -19,7 +19,7 @@
 using Gateway::OriginJournal;
 using Gateway::OriginLog;
 using Gateway::StoredStreamOrigins;
-using Gateway::VersionSet;
+using Placement::VersionSet;
 using Utils::StoreEra;
 using namespace std::chrono_literals;
 
--- a/tests/auto/gateway/tst_tablefollower.cpp
+++ b/tests/auto/gateway/tst_tablefollower.cpp
@@ -14,8 +14,8 @@
 
 #include <algorithm>
 
+using Availability::StalenessDetector;
 using Gateway::Row;
-using Gateway::StalenessDetector;
 using Gateway::StoreError;
 using Gateway::TableFollower;
 using namespace std::chrono_literals;
