Queue: a scheduled dispatch doesn't outlive the queue; permits name their exact time

Cause: RequestQueue's dispatch timer kept a pointer to the queue. Destroying a gateway with such a timer pending crashed tst_storecopyholders and tst_storecopypairs (gdb: AdmissionController::order called from the timer). Retry-After of a request without a permit had jitter beyond the next free permit (tst_ratelimits: 2.97 s where 2.5 s are allowed).

Tests: StopRefusesWaitingRequests names a latency objective of 5 s, as requests of a stream without one are refused after 1 s since waiting is bounded by the client's patience; what it checks stays.

--- a/src/libs/gateway/requestflow.cpp
+++ b/src/libs/gateway/requestflow.cpp
@@ -709,7 +709,10 @@
                               Constants::DefaultRetryAfter, Constants::MaxRetryAfter);
         break;
     case RefusalReason::WouldMissDeadline:
-        wait = std::max(wait, m_permitDelay);
+        // The next permit is free then; a later return could find it taken.
+        if (m_permitDelay > Duration::zero())
+            return std::max(duration_cast<milliseconds>(m_permitDelay),
+                            Constants::DefaultRetryAfter);
         break;
     case RefusalReason::LoadFailed:
         break;
--- a/src/libs/gateway/requestqueue.cpp
+++ b/src/libs/gateway/requestqueue.cpp
@@ -41,7 +41,9 @@
     if (m_isDispatchScheduled || m_flows.empty())
         return;
     m_isDispatchScheduled = true;
-    m_reactor.callAfter(Constants::DispatchDelay, [this] {
+    m_reactor.callAfter(Constants::DispatchDelay, [this, alive = std::weak_ptr(m_alive)] {
+        if (alive.expired())
+            return;
         m_isDispatchScheduled = false;
         dispatchAll();
     });
--- a/src/libs/gateway/requestqueue.h
+++ b/src/libs/gateway/requestqueue.h
@@ -42,6 +42,8 @@
     std::map<std::uint64_t, std::shared_ptr<RequestFlow>> m_flows;
     std::uint64_t m_lastId = 0;
     bool m_isDispatchScheduled = false;
+    /// Expires with the queue; a scheduled dispatch may outlive it.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace Gateway
--- a/tests/auto/platform/tst_gateway.cpp
+++ b/tests/auto/platform/tst_gateway.cpp
@@ -700,6 +700,7 @@
                          {"prefix", "/batch/"},
                          {"routeType", "streaming"},
                          {"timeoutMs", 20000},
+                         {"targetLatencyMs", 5000},
                          {"service", "lm"},
                          {"resumable", true}}}}});
     startReadyGateway();
