--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -39,6 +39,9 @@
 /// Maximum time that an engine may unload others for a model before another engine is chosen; an
 /// unload waits for running requests.
 constexpr std::chrono::milliseconds IntentLifetime(3000);
+/// Time from the end of such an unload for which the room is kept for that model. Without it, other
+/// models took the room, and several engines in turn unloaded for a model in vain.
+constexpr std::chrono::milliseconds ReservationTime(500);
 /// Minimum benefit of a prefetch, in requests per second; it replaces only surplus or idle models.
 constexpr double MinPrefetchBenefit = 0.02;
 /// Assumed probability that an engine with a copy leaves before another copy can be loaded.
@@ -155,6 +158,15 @@
     return candidate;
 }
 
+/// True if the engine has unloaded others for a model that can still be loaded there.
+auto SwapPlanner::isReservedForOther(const PlannedEngine &engine, const LoadProposal &proposal,
+                                     TimePoint now) const -> bool
+{
+    const auto intent = m_intents.find(engine.id);
+    return intent != m_intents.end() && intent->second.model != proposal.model->name
+        && now < intent->second.reservedUntil;
+}
+
 auto SwapPlanner::demandProposals(const Input &input, const Snapshot &snapshot) const
     -> std::vector<LoadProposal>
 {
@@ -277,7 +289,8 @@
     round.orderedEngines.insert(engine);
     m_copyWaits.erase(proposal.model->name);
     if (!candidate.victims.empty()) {
-        m_intents[engine] = {proposal.model->name, input.now + IntentLifetime};
+        m_intents[engine] = {proposal.model->name, input.now + IntentLifetime,
+                             input.now + IntentLifetime};
         const std::string &victim = candidate.victims.front();
         const auto demand = input.demand.find(victim);
         round.orders.push_back({PlannedOrder::Kind::Unload, engine, victim, false,
@@ -328,6 +341,7 @@
 {
     // Loads from the store slow each other down, so a second copy waits until the first is loaded.
     if (snapshot.loadingModels.count(proposal.model->name) > 0
+        || round.unloadsFor.count(proposal.model->name) > 0
         || round.modelsFromStore.count(proposal.model->name) > 0
         || (proposal.isUrgent ? round.storeLoads : std::min(round.storeLoads, round.prefetchLoads))
             <= 0)
@@ -342,7 +356,8 @@
     std::optional<Candidate> best;
     int eligibleEngines = 0;
     for (const PlannedEngine &engine : input.engines) {
-        if (engine.isBusy || round.orderedEngines.count(engine.id) > 0)
+        if (engine.isBusy || round.orderedEngines.count(engine.id) > 0
+            || isReservedForOther(engine, proposal, input.now))
             continue;
         auto candidate = evaluate(input, snapshot, engine, *proposal.model, proposal.benefit);
         if (!candidate)
@@ -376,7 +391,8 @@
 {
     Round round;
     round.storeLoads = input.storeLoadsAllowed;
-    std::erase_if(m_intents, [&](const auto &item) { return item.second.until <= input.now; });
+    std::erase_if(m_intents,
+                  [&](const auto &item) { return item.second.reservedUntil <= input.now; });
     std::erase_if(m_copyWaits, [&](const auto &item) {
         const auto demand = input.demand.find(item.first);
         return demand == input.demand.end() || demand->second.perSecond < MinExcessRate;
@@ -385,8 +401,12 @@
     std::map<std::string, std::string> prefetchLoads;
     for (const PlannedEngine &engine : input.engines) {
         const auto intent = m_intents.find(engine.id);
-        if (intent != m_intents.end() && engine.isBusy)
-            ++round.unloadsFor[intent->second.model];
+        if (intent != m_intents.end() && engine.isBusy) {
+            intent->second.reservedUntil =
+                std::max(intent->second.reservedUntil, input.now + ReservationTime);
+            if (input.now < intent->second.until)
+                ++round.unloadsFor[intent->second.model];
+        }
         running += isLoadingFromStore(engine);
         const auto prefetched = m_prefetchLoads.find(engine.id);
         if (prefetched != m_prefetchLoads.end() && prefetched->second == engine.loadingModel)
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -153,9 +153,13 @@
     struct Intent
     {
         std::string model;
-        Utils::TimePoint until;
+        Utils::TimePoint until; ///< Then other engines may unload for the model too.
+        Utils::TimePoint reservedUntil; ///< Until then the room at the engine is kept for it.
     };
 
+    auto isReservedForOther(const PlannedEngine &engine, const LoadProposal &proposal,
+                            Utils::TimePoint now) const -> bool;
+
     std::map<std::string, Intent> m_intents; ///< By engine.
     /// Since when models have waited for a copy at a busy engine without an order.
     std::map<std::string, Utils::TimePoint> m_copyWaits;
--- a/tests/auto/gateway/tst_swapplanner.cpp
+++ b/tests/auto/gateway/tst_swapplanner.cpp
@@ -451,3 +451,26 @@
     }
     EXPECT_EQ(unloading.size(), 4U);
 }
+
+// Guards against giving the room that an engine made for one model to another one with more demand,
+// after which the next engine unloaded for the first model in vain.
+TEST_F(SwapPlannerTest, RoomMadeForAModelIsKeptForIt)
+{
+    auto &engine = addEngine("e1", {"m0", "m1", "m2"});
+    engine.copiesOnDisk = {"m5", "m6"};
+    input.demand["m5"] = {1, 0, 0.1, 10};
+    const auto unloads = planner.plan(input);
+    ASSERT_EQ(unloads.size(), 1U);
+    ASSERT_EQ(unloads[0].kind, Kind::Unload);
+    input.engines[0].models.erase(unloads[0].model);
+    input.engines[0].isBusy = true;
+    for (int step = 0; step < 10; ++step) { // The unload waits for running requests.
+        input.now += 500ms;
+        EXPECT_TRUE(planner.plan(input).empty());
+    }
+    input.engines[0].isBusy = false;
+    input.demand["m6"] = {9, 0, 2, 10};
+    const auto orders = planner.plan(input);
+    EXPECT_TRUE(find(orders, Kind::Load, "m5"));
+    EXPECT_FALSE(find(orders, Kind::Load, "m6"));
+}
