--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -314,7 +314,8 @@
         return true;
     std::optional<Candidate> best;
     for (const PlannedEngine &engine : input.engines) {
-        if (engine.isBusy || round.orderedEngines.count(engine.id) > 0 || !proposal.suits(engine))
+        if (engine.isBusy || round.orderedEngines.count(engine.id) > 0 || !proposal.suits(engine)
+            || isReservedForOther(engine, proposal, input.now))
             continue;
         auto candidate = evaluate(input, snapshot, engine, *proposal.model, proposal.benefit);
         if (!candidate || candidate->isFromStore)
