Planner: only badly overloaded models are fetched onto full disks

Cause: any crowded model fetched further copies from the store.

Change: a model counts as overloaded if four requests wait for each of its engines and its rate is more than twice what they serve well.

--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -189,6 +189,8 @@
             const double excess = demand.perSecond - RatePerEngine * held;
             if (demand.waiting >= WaitingForAnotherEngine * held)
                 proposal.benefit = WaitingWeight * demand.waiting / 2;
+            proposal.isOverloaded =
+                demand.waiting >= WaitingForAnotherEngine * held && excess > RatePerEngine * held;
             if (excess > MinExcessRate) {
                 proposal.benefit = std::max(proposal.benefit, ExcessRateWeight * excess);
                 proposal.engines =
@@ -347,11 +349,11 @@
         || (proposal.isUrgent ? round.storeLoads : std::min(round.storeLoads, round.prefetchLoads))
             <= 0)
         return;
-    // On a full disk, the new copy would replace another one. For a model whose engines are
-    // overloaded that is worth it: without another engine, its requests time out as long as the
-    // demand lasts.
-    const bool needsFreeDisk = input.description->diskMb > 0 && proposal.isPrefetch()
-        && snapshot.copies.count(proposal.model->name) > 0;
+    // On a full disk, the new copy would replace another one, and the engine swaps no models during
+    // the load. That is worth it only for a model whose engines can't serve half of the demand:
+    // without another engine, its requests time out as long as the demand lasts.
+    const bool needsFreeDisk = input.description->diskMb > 0 && !proposal.isUrgent
+        && !proposal.isOverloaded && snapshot.copies.count(proposal.model->name) > 0;
     if (needsFreeDisk && snapshot.maxFreeDiskMb < proposal.model->weightsMb)
         return;
     std::optional<Candidate> best;
@@ -431,7 +433,8 @@
     for (const LoadProposal &proposal : demandProposals(input, snapshot)) {
         if (static_cast<long>(round.orderedEngines.size()) >= idle)
             return round.orders;
-        if (!loadFromCopy(input, snapshot, proposal, round))
+        if (!loadFromCopy(input, snapshot, proposal, round)
+            && (proposal.isUrgent || proposal.isOverloaded))
             fromStore.push_back(proposal);
     }
     if (round.storeLoads <= 0)
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -90,11 +90,11 @@
         double benefit = 0;
         std::string reason;
         bool isUrgent = false; ///< Requests are waiting and no engine holds the model.
+        bool isOverloaded = false; ///< Its engines can't serve half of the demand.
         double longestWaitMs = 0;
         int engines = 1; ///< On how many engines the model is needed in addition.
         std::string softwareVersion; ///< Only engines of this version; any if empty.
 
-        auto isPrefetch() const -> bool { return reason == PrefetchReason; }
         auto suits(const PlannedEngine &engine) const -> bool
         {
             return engine.models.count(model->name) == 0
