--- a/src/libs/gateway/swapplanner.cpp
+++ b/src/libs/gateway/swapplanner.cpp
@@ -39,8 +39,9 @@
 /// Maximum time that an engine may unload others for a model before another engine is chosen; an
 /// unload waits for running requests.
 constexpr std::chrono::milliseconds IntentLifetime(3000);
-/// Time from the end of such an unload for which the room is kept for that model. Without it, other
-/// models took the room, and several engines in turn unloaded for a model in vain.
+/// Time from the end of such an unload for which the room is kept for an overloaded model. Without
+/// it, other models took the room, and several engines in turn unloaded for a model in vain. On
+/// nine engines, keeping room for every model left rare models unserved.
 constexpr std::chrono::milliseconds ReservationTime(500);
 /// Minimum benefit of a prefetch, in requests per second; it replaces only surplus or idle models.
 constexpr double MinPrefetchBenefit = 0.02;
@@ -163,8 +164,8 @@
                                      TimePoint now) const -> bool
 {
     const auto intent = m_intents.find(engine.id);
-    return intent != m_intents.end() && intent->second.model != proposal.model->name
-        && now < intent->second.reservedUntil;
+    return intent != m_intents.end() && intent->second.isReserved
+        && intent->second.model != proposal.model->name && now < intent->second.reservedUntil;
 }
 
 auto SwapPlanner::demandProposals(const Input &input, const Snapshot &snapshot) const
@@ -292,7 +293,7 @@
     m_copyWaits.erase(proposal.model->name);
     if (!candidate.victims.empty()) {
         m_intents[engine] = {proposal.model->name, input.now + IntentLifetime,
-                             input.now + IntentLifetime};
+                             input.now + IntentLifetime, proposal.isOverloaded};
         const std::string &victim = candidate.victims.front();
         const auto demand = input.demand.find(victim);
         round.orders.push_back({PlannedOrder::Kind::Unload, engine, victim, false,
--- a/src/libs/gateway/swapplanner.h
+++ b/src/libs/gateway/swapplanner.h
@@ -154,7 +154,8 @@
     {
         std::string model;
         Utils::TimePoint until; ///< Then other engines may unload for the model too.
-        Utils::TimePoint reservedUntil; ///< Until then the room at the engine is kept for it.
+        Utils::TimePoint reservedUntil; ///< Until then the room at the engine may be kept for it.
+        bool isReserved = false; ///< No other model gets the room.
     };
 
     auto isReservedForOther(const PlannedEngine &engine, const LoadProposal &proposal,
