--- a/review/stand-ins-2/bench.hh
+++ b/review/stand-ins-2/bench.hh
@@ -51,6 +51,19 @@
     Store store;
 };
 
+/// Starts a gateway and waits until it is ready; otherwise the case can't run.
+inline auto startGateway(Bench &bench, Gateway &gateway) -> void
+{
+    constexpr int patienceMs = 10000;
+    if (gateway.start() && gateway.awaitReady(patienceMs))
+        return;
+    const bool isRunning = gateway.isRunning();
+    bench.record.add(isRunning ? "the gateway runs, but isn't ready"
+                               : "the gateway has ended, status "
+                             + std::to_string(gateway.exitStatus()));
+    bench.end(CouldNotRun, "a gateway doesn't get ready");
+}
+
 /// Head of a request of an ordinary client; `rest` begins with further fields and has the body.
 inline auto requestHead(const std::string &method, const std::string &target,
                         const std::string &id, int deadlineMs, const std::string &rest)
--- a/review/stand-ins-2/engine.hh
+++ b/review/stand-ins-2/engine.hh
@@ -23,17 +23,19 @@
     using Behaviour = std::function<void(Engine &, Connection &, const Message &)>;
 
     Engine(Store &store, Record &record, std::string id, std::string service, int slots,
-           std::set<std::string> models = {})
+           std::set<std::string> models = {}, std::string zone = "tw-north-a",
+           std::string version = "v1")
         : m_store(store)
         , m_record(record)
         , m_id(std::move(id))
         , m_service(std::move(service))
         , m_slots(slots)
         , m_models(std::move(models))
-        , m_born(std::chrono::duration_cast<std::chrono::milliseconds>(
-                     std::chrono::system_clock::now().time_since_epoch())
-                     .count())
+        , m_zone(std::move(zone))
+        , m_version(std::move(version))
+        , m_born(unixMs())
         , m_listener(listenOn())
+        , m_port(portOf(m_listener))
     {
         std::thread([this] { acceptAll(); }).detach();
         announce();
@@ -50,7 +52,7 @@
     int loadMs = 6000;
 
     auto id() const -> const std::string & { return m_id; }
-    auto port() const -> int { return portOf(m_listener); }
+    auto port() const -> int { return m_port; }
     auto runs() const -> int { return m_runs; }
 
     auto announce(const std::string &state = {}) -> void
@@ -61,8 +63,8 @@
         m_isAnnounced = true;
         nlohmann::json entry = {{"service", m_service},
                                 {"address", "127.0.0.1:" + std::to_string(port())},
-                                {"zone", "tw-north-a"},
-                                {"version", "v1"},
+                                {"zone", m_zone},
+                                {"version", m_version},
                                 {"slots", m_slots},
                                 {"state", m_state},
                                 {"coldRemainingMs", 0},
@@ -73,6 +75,39 @@
         m_store.put("servers", m_id, entry.dump());
     }
 
+    auto version() -> std::string
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_version;
+    }
+
+    /// Ends at once, with all connections; its entry stays until it expires.
+    auto crash() -> void
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_isAnnounced = false;
+        ::shutdown(m_listener, SHUT_RDWR);
+        for (const int fd : m_open)
+            ::shutdown(fd, SHUT_RDWR);
+        m_record.add(m_id + " crashes with " + std::to_string(m_open.size()) + " connections");
+    }
+
+    /// Starts again under its id, at its address, with the given software.
+    auto restart(const std::string &version) -> void
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_version = version;
+            m_born = unixMs();
+            m_sequence = 0;
+            m_models.clear();
+            m_listener = listenOn(m_port);
+        }
+        std::thread([this] { acceptAll(); }).detach();
+        m_record.add(m_id + " starts again with " + version);
+        announce();
+    }
+
     /// Notes that the request has begun to run.
     auto noteRun(const Message &request) -> void
     {
@@ -105,18 +140,48 @@
         return list;
     }
 
+    static auto unixMs() -> std::int64_t
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
     auto acceptAll() -> void
     {
+        const int listener = m_listener;
         while (true) {
-            const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd >= 0)
-                std::thread([this, fd] { serve(fd); }).detach();
+            const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (fd < 0) {
+                ::close(listener);
+                return;
+            }
+            std::thread([this, fd] { serve(fd); }).detach();
         }
     }
 
     auto serve(int fd) -> void
+    {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_open.insert(fd);
+        }
+        serveRequests(fd);
+    }
+
+    auto serveRequests(int fd) -> void
     {
         Connection connection(fd);
+        struct Leave
+        {
+            Engine &engine;
+            int fd;
+            ~Leave()
+            {
+                const std::lock_guard<std::mutex> lock(engine.m_mutex);
+                engine.m_open.erase(fd);
+            }
+        } leave{*this, fd};
         Message request;
         while (connection.read(request, nowMs() + 600000, false)) {
             const std::string expected = request.field("Expect-Instance");
@@ -206,13 +271,17 @@
     int m_slots;
     std::mutex m_mutex;
     std::set<std::string> m_models;
+    std::string m_zone;
+    std::string m_version;
     std::int64_t m_born;
+    std::set<int> m_open; ///< Connections.
     std::string m_state = "ready";
     bool m_isBusy = false;
     std::int64_t m_sequence = 0;
     std::atomic<bool> m_isAnnounced{false};
     std::atomic<int> m_runs{0};
     int m_listener;
+    int m_port;
 };
 
 } // namespace standins
--- a/review/stand-ins-2/gateway.hh
+++ b/review/stand-ins-2/gateway.hh
@@ -22,7 +22,7 @@
 public:
     /// `root` is the repository, `folder` an own temporary folder.
     Gateway(std::string root, std::string folder, const std::string &name, int storePort,
-            bool isFirstStart = true)
+            const std::string &zone = "tw-north-a", bool isFirstStart = true)
         : m_root(std::move(root))
         , m_folder(std::move(folder))
         , m_name(name)
@@ -31,7 +31,7 @@
         m_readiness = freePort();
         m_peers = freePort();
         settings = {{"name", name},
-                    {"failureDomain", "tw-north-a"},
+                    {"failureDomain", zone},
                     {"callerAddress", at(m_callers)},
                     {"readinessAddress", at(m_readiness)},
                     {"peerAddress", at(m_peers)},
--- a/review/stand-ins-2/net.hh
+++ b/review/stand-ins-2/net.hh
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <string>
 #include <strings.h>
 #include <sys/socket.h>
@@ -56,12 +57,24 @@
     return fd;
 }
 
+/// A port that nothing uses, below those that outgoing connections take.
 inline auto freePort() -> int
 {
-    const int fd = listenOn();
-    const int port = portOf(fd);
-    ::close(fd);
-    return port;
+    static std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<int> choose(18000, 31999);
+    while (true) {
+        const int port = choose(random);
+        const int tcp = listenOn(port);
+        const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool isFree = tcp >= 0
+            && ::bind(udp, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+        ::close(udp);
+        if (tcp >= 0)
+            ::close(tcp);
+        if (isFree)
+            return port;
+    }
 }
 
 inline auto connectTo(int port) -> int
--- a/review/stand-ins-2/store.hh
+++ b/review/stand-ins-2/store.hh
@@ -22,10 +22,24 @@
     Store()
         : m_listener(listenOn())
     {
-        std::thread([this] { acceptAll(); }).detach();
+        std::thread([this] { acceptAll(m_listener, false); }).detach();
     }
 
     auto port() const -> int { return portOf(m_listener); }
+    /// A further port, for the machine that the store turns away at times.
+    auto addPort() -> int
+    {
+        const int listener = listenOn();
+        std::thread([this, listener] { acceptAll(listener, true); }).detach();
+        return portOf(listener);
+    }
+    /// Answers 503 to all calls at the further port, those that wait included.
+    auto turnAway(bool turnsAway) -> void
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_turnsAway = turnsAway;
+        m_changed.notify_all();
+    }
 
     /// Writes a row as the operator or an engine does.
     auto put(const std::string &table, const std::string &key, const std::string &value) -> void
@@ -55,22 +69,22 @@
         bool isRemoved = false;
     };
 
-    auto acceptAll() -> void
+    auto acceptAll(int listener, bool isFurther) -> void
     {
         while (true) {
-            const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+            const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd >= 0)
-                std::thread([this, fd] { serve(fd); }).detach();
+                std::thread([this, fd, isFurther] { serve(fd, isFurther); }).detach();
         }
     }
 
-    auto serve(int fd) -> void
+    auto serve(int fd, bool isFurther) -> void
     {
         Connection connection(fd);
         Message call;
         while (connection.read(call, nowMs() + 600000, false)) {
             int status = 200;
-            const std::string body = answer(call, status).dump();
+            const std::string body = answer(call, isFurther, status).dump();
             connection.send("HTTP/1.1 " + std::to_string(status)
                             + " Answer\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
                               "Content-Length: "
@@ -154,13 +168,16 @@
         return json;
     }
 
-    auto answer(const Message &call, int &status) -> Json
+    auto answer(const Message &call, bool isFurther, int &status) -> Json
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         const std::string target = call.target();
         auto given = parameters(target);
         Json rows = Json::array();
-        if (target.starts_with("/-/rows-get")) {
+        const auto isTurnedAway = [this, isFurther] { return isFurther && m_turnsAway; };
+        if (isTurnedAway()) {
+            status = 503;
+        } else if (target.starts_with("/-/rows-get")) {
             for (const auto &[id, row] : m_rows) {
                 if (id.first == given["table"] && !row.isRemoved && id.second >= given["from"])
                     rows.push_back(rowToJson(id, row));
@@ -179,7 +196,11 @@
                 return !rows.empty();
             };
             m_changed.wait_for(lock, std::chrono::milliseconds(std::stoll(given["waitMs"])),
-                               collect);
+                               [&] { return isTurnedAway() || collect(); });
+            if (isTurnedAway()) {
+                rows = Json::array();
+                status = 503;
+            }
         } else if (target == "/-/rows-tx") {
             const Json body = Json::parse(call.body);
             for (const Json &row : body["expected"]) {
@@ -209,6 +230,7 @@
     std::condition_variable m_changed;
     std::map<std::pair<std::string, std::string>, Row> m_rows;
     std::uint64_t m_version = 0;
+    bool m_turnsAway = false;
 };
 
 } // namespace standins
