--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,9 +4,11 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p .bin
+rm -f .bin/part-2-*
 for source in [6-9]/*.cc 10/*.cc; do
-    [ -f "$source" ] || continue
-    program=".bin/part-2-$(dirname "$source")"
-    rm -f "$program"
-    g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o "$program" "$source"
+    g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o ".bin/part-2-$(dirname "$source")" "$source" &
+done
+wait
+for number in 6 7 8 9 10; do
+    [ -x ".bin/part-2-$number" ] || exit 1
 done
