--- a/review/stand-ins-2/net.hh
+++ b/review/stand-ins-2/net.hh
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <random>
+#include <set>
 #include <string>
 #include <strings.h>
 #include <sys/socket.h>
@@ -57,10 +58,11 @@
     return fd;
 }
 
-/// A port that nothing uses, below those that outgoing connections take.
+/// A port that nothing uses, below those that outgoing connections take; another one each time.
 inline auto freePort() -> int
 {
     static std::mt19937 random(std::random_device{}());
+    static std::set<int> given;
     std::uniform_int_distribution<int> choose(18000, 31999);
     while (true) {
         const int port = choose(random);
@@ -72,7 +74,7 @@
         ::close(udp);
         if (tcp >= 0)
             ::close(tcp);
-        if (isFree)
+        if (isFree && given.insert(port).second)
             return port;
     }
 }
